--- /dev/null
+++ b/cmd/main_test.go
@@ -0,0 +1,24 @@
+package cmd
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestMainExitCode guards against mistakes that end with a success code.
+func TestMainExitCode(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"version", []string{"galenaridge", "version"}, 0},
+		{"unknown flag", []string{"galenaridge", "version", "--nope"}, exitFailure},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.code, Main(tt.args))
+		})
+	}
+}
--- /dev/null
+++ b/core/exchange/code.go
@@ -0,0 +1,75 @@
+package exchange
+
+// Code is the stable name of a refusal, for programs to act on.
+type Code string
+
+const (
+	// BadRequest means that the request breaks the protocol or a limit.
+	BadRequest Code = "bad_request"
+	// TooLarge means that a header or a body exceeds its limit.
+	TooLarge Code = "too_large"
+	// NoService means that the service is not configured.
+	NoService Code = "no_service"
+	// TokenRequired means that a key came without a token.
+	TokenRequired Code = "token_required"
+	// TokenInvalid means that the token was not issued by its home.
+	TokenInvalid Code = "token_invalid"
+	// TokenExpired means that the life of the token has passed.
+	TokenExpired Code = "token_expired"
+	// KeyReused means that the key was used for a different request.
+	KeyReused Code = "key_reused"
+	// Overloaded means that no slot can come free before the deadline.
+	Overloaded Code = "overloaded"
+	// NoCapacity means that no owner of a slot could be reached.
+	NoCapacity Code = "no_capacity"
+	// Stopping means that the instance no longer starts protected requests.
+	Stopping Code = "stopping"
+	// NotReady means that the instance has no configuration or no lease yet.
+	NotReady Code = "not_ready"
+	// Expired means that the deadline passed before the request was sent.
+	Expired Code = "expired"
+	// Canceled means that the caller went away before the request was sent.
+	Canceled Code = "canceled"
+	// Refused means that the key is recorded as refused.
+	Refused Code = "refused"
+	// RecordsFull means that the home cannot record another key.
+	RecordsFull Code = "records_full"
+	// HomeLost means that the home of the token cannot be reached.
+	HomeLost Code = "home_lost"
+	// UpstreamLost means that the connection to the server broke, or that no
+	// whole answer came, after the request may have been written.
+	UpstreamLost Code = "upstream_lost"
+	// UpstreamTimeout means that no answer came before the deadline.
+	UpstreamTimeout Code = "upstream_timeout"
+	// Running means that an earlier copy of the request is still running.
+	Running Code = "running"
+)
+
+// uncertain reports whether a refusal with this code leaves open whether the
+// request ran.
+func (c Code) uncertain() bool {
+	switch c {
+	case RecordsFull, HomeLost, UpstreamLost, UpstreamTimeout, Running, TokenExpired, TokenInvalid:
+		return true
+	default:
+		return false
+	}
+}
+
+// status returns the HTTP status of a refusal with this code.
+func (c Code) status() int {
+	switch c {
+	case BadRequest, KeyReused:
+		return 400
+	case NoService:
+		return 404
+	case TooLarge:
+		return 413
+	case TokenRequired:
+		return 428
+	case RecordsFull, HomeLost, UpstreamLost, UpstreamTimeout, Running, TokenExpired, TokenInvalid:
+		return 504
+	default:
+		return 503
+	}
+}
--- /dev/null
+++ b/core/exchange/exchange.go
@@ -0,0 +1,63 @@
+package exchange
+
+import (
+	"time"
+
+	"galenaridge/core/fleet"
+)
+
+// Header is one header field.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// Request is one request of a caller to a service.
+type Request struct {
+	Service fleet.ServiceName
+	Method  string
+	// URI is the path and query as the server receives them.
+	URI     string
+	Headers []Header
+	Body    []byte
+	Tenant  fleet.Tenant
+	// Protected requests are non-idempotent and run at most once.
+	Protected bool
+	Key       fleet.Key
+	Deadline  time.Time
+	// Hops counts the forwards between instances so far.
+	Hops int
+}
+
+// Response is the answer to a request, or a refusal if Code is not empty.
+type Response struct {
+	Outcome fleet.Outcome
+	Code    Code
+	Message string
+	Status  int
+	Headers []Header
+	Body    []byte
+	// After is when a refused request may be sent again; zero if not known.
+	After time.Duration
+	Load  Load
+}
+
+// Refused reports whether the response comes from an instance and not from a
+// server.
+func (r Response) Refused() bool { return r.Code != "" }
+
+// Load compares owners of a service.
+type Load struct {
+	Slots  fleet.Slots
+	Busy   fleet.Slots
+	Queued int
+}
+
+// Refuse returns a refusal with the outcome that belongs to the code.
+func Refuse(code Code, message string) Response {
+	outcome := fleet.NotRun
+	if code.uncertain() {
+		outcome = fleet.Unknown
+	}
+	return Response{Outcome: outcome, Code: code, Message: message, Status: code.status()}
+}
--- /dev/null
+++ b/core/fleet/enums.go
@@ -0,0 +1,36 @@
+package fleet
+
+//go:generate ../../.tools/enumer -type=Outcome,Presence,Preference -transform=kebab -text -yaml=false -output=enums_enumer.go
+
+// Outcome says what is known about the execution of a request.
+type Outcome uint8
+
+const (
+	// Unknown means that the request may or may not have run.
+	Unknown Outcome = iota
+	// Done means that a server ran the request and the answer is its answer.
+	Done
+	// NotRun means that the request was not run and never will be.
+	NotRun
+)
+
+// Presence is the state of a process in the platform's list.
+type Presence uint8
+
+const (
+	// Live processes accept work.
+	Live Presence = iota
+	// Leaving processes finish their work and take no more.
+	Leaving
+)
+
+// Preference says whether detection of failing servers should be fast or
+// should avoid false ejections.
+type Preference uint8
+
+const (
+	// Careful accepts slower detection in exchange for fewer false ejections.
+	Careful Preference = iota
+	// Fast accepts more false ejections in exchange for faster detection.
+	Fast
+)
--- /dev/null
+++ b/core/fleet/listing.go
@@ -0,0 +1,26 @@
+package fleet
+
+// Listing is the platform's list of processes, as last read.
+type Listing struct {
+	Revision  Revision         `json:"revision"`
+	Instances []ListedInstance `json:"instances"`
+	Servers   []ListedServer   `json:"servers"`
+}
+
+// ListedInstance is one instance in the platform's list.
+type ListedInstance struct {
+	ID       InstanceID `json:"id"`
+	Domain   Domain     `json:"domain"`
+	Peer     Address    `json:"peer"`
+	Caller   Address    `json:"caller"`
+	Presence Presence   `json:"presence"`
+}
+
+// ListedServer is one server in the platform's list.
+type ListedServer struct {
+	ID       ServerID    `json:"id"`
+	Service  ServiceName `json:"service"`
+	Domain   Domain      `json:"domain"`
+	Address  Address     `json:"address"`
+	Presence Presence    `json:"presence"`
+}
