--- /dev/null
+++ b/core/ownership/claim.go
@@ -0,0 +1,82 @@
+package ownership
+
+import (
+	"time"
+
+	"galenaridge/core/fleet"
+	"galenaridge/core/member"
+)
+
+//go:generate ../../.tools/enumer -type=Verdict -transform=kebab -text -yaml=false -output=claim_enumer.go
+
+// Verdict answers a claim of one resource.
+type Verdict uint8
+
+const (
+	// Refused means that the receiver cannot consent at present, for example
+	// because it has ended.
+	Refused Verdict = iota
+	// Free means that the receiver consents and will not claim the resource
+	// without the claimant's consent.
+	Free
+	// Draining means that the receiver held the resource, takes no new work for
+	// it, and waits for requests in flight. Ask again.
+	Draining
+	// Outranked means that Holder comes before the claimant.
+	Outranked
+	// Held means that Holder may hold the resource and must be asked as well.
+	Held
+)
+
+// Claim asks for consent to own resources.
+type Claim struct {
+	From      member.Record
+	Resources []fleet.Resource
+	// Yielded lists resources that the sender gives up to the receiver, which
+	// may claim them although the sender comes first in order.
+	Yielded []fleet.Resource
+}
+
+// Answer is the verdict on one resource.
+type Answer struct {
+	Resource fleet.Resource
+	Verdict  Verdict
+	// Holder is set for Outranked and Held.
+	Holder member.Record
+}
+
+// ClaimReply answers a Claim.
+type ClaimReply struct {
+	From    fleet.Member
+	Answers []Answer
+}
+
+// ClaimOut is a claim to send; it goes back to the state with the reply.
+type ClaimOut struct {
+	To      member.Peer
+	Message Claim
+}
+
+// Wanted is a resource that some instance should hold.
+type Wanted struct {
+	Resource fleet.Resource
+	// Domain is the server's failure domain; empty if it belongs to none.
+	Domain fleet.Domain
+	// LargestDeadline is the longest time that work for the resource may run
+	// past the end of its holder's lease.
+	LargestDeadline time.Duration
+}
+
+// Effects are what to do after a command.
+type Effects struct {
+	Claims []ClaimOut
+	// Acquired resources may be used from now on.
+	Acquired []fleet.Resource
+	// Stop lists resources that must get no new work. Drained is to be called
+	// for each once its requests in flight have ended.
+	Stop []fleet.Resource
+	// Lost resources were dropped at once, because this instance was fenced.
+	Lost []fleet.Resource
+	// Learned records are to be given to member.State.Learn.
+	Learned []member.Record
+}
--- /dev/null
+++ b/core/ownership/doc.go
@@ -0,0 +1,2 @@
+// Package ownership decides which instance holds which resource.
+package ownership
