--- /dev/null
+++ b/core/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission hands out the slots of the owned servers of one service.
+package admission
--- /dev/null
+++ b/core/health/enums.go
@@ -0,0 +1,68 @@
+package health
+
+//go:generate ../../.tools/enumer -type=Condition,Reason,Result,Observer -transform=kebab -text -yaml=false -output=enums_enumer.go
+
+// Condition is what the owner of a server decided about it.
+type Condition uint8
+
+const (
+	// Healthy servers take work.
+	Healthy Condition = iota
+	// Suspect servers failed the detection but hold no ejection permit; they
+	// take work only if no healthy server has a free slot.
+	Suspect
+	// Ejected servers take no work; they hold a permit.
+	Ejected
+	// Trial servers take one idempotent request at a time; they hold a permit.
+	Trial
+	// Dead servers refuse connections and take no work; they need no permit.
+	Dead
+	// Draining servers announced that they leave and take no new work.
+	Draining
+)
+
+// Reason is the evidence behind a condition.
+type Reason uint8
+
+const (
+	// NoReason belongs to healthy servers.
+	NoReason Reason = iota
+	// Stalled means that requests in flight do not end.
+	Stalled
+	// Failing means that too large a share of requests failed.
+	Failing
+	// Slow means that requests take much longer than on other servers.
+	Slow
+	// Refusing means that the server refuses connections.
+	Refusing
+	// Leaving means that the server announced that it leaves.
+	Leaving
+	// Untested means that no idempotent request came during a trial.
+	Untested
+)
+
+// Result is how an attempt on a server ended.
+type Result uint8
+
+const (
+	// Succeeded means that the server gave a whole answer that is no failure.
+	Succeeded Result = iota
+	// Failed means a failure of the server: an error, a broken answer or the
+	// deadline.
+	Failed
+	// Canceled means that the caller went away, which says nothing about the
+	// server.
+	Canceled
+	// Refused means that the server refused the connection.
+	Refused
+)
+
+// Observer says who probed a server.
+type Observer uint8
+
+const (
+	// Self is the owner of the server.
+	Self Observer = iota
+	// Peer is another instance.
+	Peer
+)
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,3 @@
+// Package retry decides whether a failed attempt is made again, and limits
+// how much load retries add.
+package retry
