--- a/core/health/commands.go
+++ b/core/health/commands.go
@@ -20,13 +20,6 @@
 	Snapshot Snapshot
 }
 
-// State decides about the owned servers of one service. It belongs to the
-// control goroutine.
-type State struct{}
-
-// New returns a state without servers.
-func New(options Options) *State { return &State{} }
-
 // Effects lists what the control goroutine has to carry out.
 type Effects struct {
 	// Wants lists servers that now need a permit.
@@ -56,32 +49,366 @@
 	Peer bool
 }
 
+// State decides about the owned servers of one service. It belongs to the
+// control goroutine.
+type State struct {
+	options    Options
+	thresholds thresholds
+	servers    map[fleet.ServerID]*server
+
+	started time.Time
+	tick    uint64
+	ticked  time.Time
+	// resumed is when this process last came back from a pause.
+	resumed time.Time
+
+	// learned counts latencies of healthy servers.
+	learned      histogram
+	learnedSince time.Time
+	baseline     time.Duration
+	baselineAt   time.Time
+}
+
+// New returns a state without servers.
+func New(now time.Time, options Options) *State {
+	return &State{
+		options:      options,
+		thresholds:   thresholdsOf(options.Detect),
+		servers:      make(map[fleet.ServerID]*server),
+		started:      now,
+		ticked:       now,
+		resumed:      now,
+		learnedSince: now,
+	}
+}
+
 // Observe takes one reading for each owned server; servers without a reading
 // are forgotten. Taking counts the servers of the service that take work, as
-// far as known. It is called about every 50 ms.
+// far as known; the last one is never ejected. It is called about every 50 ms.
 func (s *State) Observe(now time.Time, readings []Reading, taking fleet.Servers) Effects {
-	return Effects{}
+	s.begin(now)
+	for i := range readings {
+		s.record(now, &readings[i])
+	}
+	s.forget()
+	var effects Effects
+	for i := range readings {
+		s.decide(now, s.servers[readings[i].Server], taking, &effects)
+	}
+	return effects
+}
+
+// begin notes the time of a tick, and whether this process was paused.
+func (s *State) begin(now time.Time) {
+	s.tick++
+	if now.Sub(s.ticked) > gap {
+		s.resumed = now
+	}
+	s.ticked = now
+	if now.Sub(s.learnedSince) >= learnTime {
+		s.learned.halve()
+		s.learnedSince = now
+	}
+}
+
+// record adds what happened on a server since the last tick to its window.
+func (s *State) record(now time.Time, reading *Reading) {
+	v, known := s.servers[reading.Server]
+	if !known {
+		v = newServer(reading.Server, now, &s.thresholds)
+		s.servers[reading.Server] = v
+	}
+	before := v.snapshot
+	switch {
+	case !known:
+		// What happened before the server was owned is no evidence.
+		before = reading.Snapshot
+	case reading.Snapshot.Started < before.Started:
+		// The counters are new.
+		before = Snapshot{}
+	}
+	v.seen = s.tick
+	v.snapshot = reading.Snapshot
+	ended := s.ended(&before, &v.snapshot)
+	v.refused(int(v.snapshot.Refused-before.Refused), ended.succeeded)
+	if now.Sub(s.resumed) < settleTime {
+		ended = tally{succeeded: ended.succeeded}
+	}
+	v.window.record(now.Sub(s.started), &ended)
+	v.succeeded(&ended)
+	v.median = medianOf(&v.window, s.thresholds.slowAttempts)
+	if v.status.Condition == Healthy {
+		s.learned.add(&ended.latencies)
+	}
+}
+
+// ended returns the attempts that ended between two snapshots.
+func (s *State) ended(before, after *Snapshot) tally {
+	t := tally{
+		succeeded: int(after.Succeeded - before.Succeeded),
+		failed:    int(after.Failed - before.Failed),
+		latencies: after.latencies.since(&before.latencies),
+	}
+	timedOut := int(after.TimedOut - before.TimedOut)
+	if timedOut == 0 {
+		return t
+	}
+	lasted := (after.Overrun - before.Overrun) / time.Duration(timedOut)
+	stallAge := s.thresholds.stallAge(&s.learned, s.options.Deadline)
+	if lasted >= time.Duration(timeoutShare*float64(stallAge)) {
+		t.timedOut = timedOut
+		t.failed += timedOut
+	}
+	return t
+}
+
+// refused counts refused connections in a row.
+func (v *server) refused(count, succeeded int) {
+	v.refusals += count
+	if succeeded > 0 {
+		v.refusals = 0
+	}
+}
+
+// succeeded counts successes in a row.
+func (v *server) succeeded(ended *tally) {
+	v.trialLatencies.add(&ended.latencies)
+	if ended.failed > 0 {
+		v.successes = 0
+		return
+	}
+	v.successes += ended.succeeded
+}
+
+// forget drops servers that had no reading at this tick.
+func (s *State) forget() {
+	for id, v := range s.servers {
+		if v.seen != s.tick {
+			delete(s.servers, id)
+		}
+	}
+}
+
+// decide moves one server to another condition if the evidence asks for it.
+func (s *State) decide(now time.Time, v *server, taking fleet.Servers, effects *Effects) {
+	if v.refusals >= s.thresholds.refusals && v.status.Condition != Dead && v.status.Condition != Draining {
+		s.die(now, v, effects)
+		return
+	}
+	switch v.status.Condition {
+	case Healthy:
+		s.decideHealthy(now, v, taking, effects)
+	case Suspect:
+		s.decideSuspect(now, v, effects)
+	case Ejected:
+		s.decideEjected(now, v, effects)
+	case Trial:
+		s.decideTrial(now, v, effects)
+	case Dead, Draining:
+		s.decideUnusable(now, v, effects)
+	}
+}
+
+// die takes a server that refuses connections out of use.
+func (s *State) die(now time.Time, v *server, effects *Effects) {
+	v.leave(now, Dead, Refusing, effects)
+	v.backoff = firstBackoff
+	v.nextProbe = time.Time{}
+	v.probe(now, true, effects)
+	v.nextProbe = now.Add(v.backoff)
+}
+
+// decideHealthy suspects a server that has evidence against it.
+func (s *State) decideHealthy(now time.Time, v *server, taking fleet.Servers, effects *Effects) {
+	v.decay(now)
+	found := s.judge(now, v)
+	if found.reason != Slow {
+		v.slowSince = time.Time{}
+	} else if v.slowSince.IsZero() {
+		v.slowSince = now
+	}
+	if found.reason == NoReason || taking <= 1 {
+		return
+	}
+	if found.reason == Slow && now.Sub(v.slowSince) < s.thresholds.slowHold {
+		return
+	}
+	v.suspect(now, found, effects)
+	if found.reason == Stalled {
+		v.probe(now, true, effects)
+	}
+}
+
+// decideSuspect clears a server whose evidence is gone.
+func (s *State) decideSuspect(now time.Time, v *server, effects *Effects) {
+	found := s.judge(now, v)
+	if found.reason != NoReason {
+		if v.status.Reason == Untested {
+			effects.Wants = append(effects.Wants, Wish{Server: v.status.Server, Badness: found.badness})
+		}
+		v.status.Reason = found.reason
+		v.status.Badness = found.badness
+		v.cleanSince = time.Time{}
+		v.successes = 0
+		return
+	}
+	if v.cleanSince.IsZero() {
+		v.cleanSince = now
+	}
+	clean := now.Sub(v.cleanSince)
+	tested := v.successes >= s.thresholds.successes && clean >= s.thresholds.clear
+	if tested || clean >= staleEvidence {
+		v.reinstate(now, effects)
+	}
+}
+
+// decideEjected begins a trial when the ejection time is over and no attempt
+// from before is left, whose failure would count against the trial.
+func (s *State) decideEjected(now time.Time, v *server, effects *Effects) {
+	if now.Before(v.ejectedUntil) || v.snapshot.InFlight > 0 {
+		return
+	}
+	v.change(now, Trial, v.status.Reason, v.status.Badness)
+	v.window.clear()
+	v.trialLatencies = histogram{}
+	effects.Trials = append(effects.Trials, v.status.Server)
+}
+
+// decideTrial ends a trial after enough successes in a row or one failure.
+func (s *State) decideTrial(now time.Time, v *server, effects *Effects) {
+	c := s.compare(now, v)
+	patience := now.Sub(s.resumed)
+	if v.window.sum.failed > 0 || c.overdue(&v.snapshot, patience) > 0 {
+		v.eject(now, &s.thresholds, true)
+		return
+	}
+	age := now.Sub(v.status.Since)
+	if v.successes >= s.thresholds.successes {
+		s.endTrial(now, v, c.excess(&v.trialLatencies) > 0, effects)
+		return
+	}
+	if v.snapshot.InFlight == 0 && v.successes == 0 && age >= idleTrial {
+		v.change(now, Suspect, Untested, 0)
+		v.status.Permit = false
+		effects.Returns = append(effects.Returns, v.status.Server)
+	}
+}
+
+// endTrial reinstates a server, unless it is still slow. It may have been
+// restarted while it was ejected, so it gets the time to warm up.
+func (s *State) endTrial(now time.Time, v *server, slow bool, effects *Effects) {
+	if !slow {
+		v.reinstate(now, effects)
+		return
+	}
+	if now.Sub(v.status.Since) >= s.thresholds.warmup {
+		v.eject(now, &s.thresholds, true)
+		return
+	}
+	v.successes = 0
+	v.trialLatencies = histogram{}
+}
+
+// decideUnusable probes a server again that takes no work.
+func (s *State) decideUnusable(now time.Time, v *server, effects *Effects) {
+	if now.Before(v.nextProbe) {
+		return
+	}
+	v.backoff = min(max(2*v.backoff, firstBackoff), lastBackoff)
+	v.nextProbe = time.Time{}
+	v.probe(now, v.status.Condition == Dead, effects)
+	v.nextProbe = now.Add(v.backoff)
 }
 
 // Baseline takes the recent median latency of the whole service.
-func (s *State) Baseline(now time.Time, median time.Duration) {}
+func (s *State) Baseline(now time.Time, median time.Duration) {
+	s.baseline = median
+	s.baselineAt = now
+}
 
 // Granted records that a server may be ejected until the permit expires.
-func (s *State) Granted(now time.Time, server fleet.ServerID) Effects { return Effects{} }
+func (s *State) Granted(now time.Time, id fleet.ServerID) Effects {
+	var effects Effects
+	v, known := s.servers[id]
+	if !known {
+		effects.Returns = append(effects.Returns, id)
+		return effects
+	}
+	switch v.status.Condition {
+	case Suspect:
+		if v.status.Reason == Untested {
+			effects.Returns = append(effects.Returns, id)
+			return effects
+		}
+		v.eject(now, &s.thresholds, !v.episode)
+	case Healthy, Dead, Draining:
+		effects.Returns = append(effects.Returns, id)
+	case Ejected, Trial:
+	}
+	return effects
+}
 
-// Denied records that a server may not be ejected at present.
-func (s *State) Denied(now time.Time, server fleet.ServerID) Effects { return Effects{} }
+// Denied records that a server may not be ejected at present. It stays in use
+// with the lowest preference.
+func (s *State) Denied(now time.Time, id fleet.ServerID) Effects { return s.readmit(now, id) }
 
 // Expired records that the permit of a server ended.
-func (s *State) Expired(now time.Time, server fleet.ServerID) Effects { return Effects{} }
+func (s *State) Expired(now time.Time, id fleet.ServerID) Effects { return s.readmit(now, id) }
+
+// readmit puts a server back in use that was ejected under a permit.
+func (s *State) readmit(now time.Time, id fleet.ServerID) Effects {
+	var effects Effects
+	v, known := s.servers[id]
+	if !known || !v.status.Permit {
+		return effects
+	}
+	v.suspect(now, evidence{v.status.Reason, v.status.Badness}, &effects)
+	return effects
+}
 
-// Probed records the result of a probe.
-func (s *State) Probed(now time.Time, server fleet.ServerID, by Observer, reachable bool) Effects {
-	return Effects{}
+// Probed records the result of a probe. No result clears a server, except
+// that one that refused connections takes work again when it accepts them.
+func (s *State) Probed(now time.Time, id fleet.ServerID, by Observer, reachable bool) Effects {
+	var effects Effects
+	v, known := s.servers[id]
+	if !known || by > Peer {
+		return effects
+	}
+	v.probes[by] = probeResult{at: now, reachable: reachable}
+	switch {
+	case v.status.Condition == Dead && by == Self && reachable:
+		v.reinstate(now, &effects)
+		v.warmUntil = now.Add(s.thresholds.warmup)
+	case v.status.Condition == Draining && by == Self && !reachable:
+		v.change(now, Dead, Refusing, 0)
+	case v.pathBroken(now) && v.status.Condition != Healthy && !v.released:
+		v.released = true
+		effects.Releases = append(effects.Releases, id)
+	}
+	return effects
 }
 
-// Drain records that a server announced that it leaves.
-func (s *State) Drain(now time.Time, server fleet.ServerID) Effects { return Effects{} }
+// Drain records that a server announced that it leaves. It takes work again
+// after Restore, or when it first refuses and then accepts a probe.
+func (s *State) Drain(now time.Time, id fleet.ServerID) Effects {
+	var effects Effects
+	v, known := s.servers[id]
+	if known && v.status.Condition != Draining && v.status.Condition != Dead {
+		v.leave(now, Draining, Leaving, &effects)
+		v.backoff = firstBackoff
+		v.nextProbe = now.Add(v.backoff)
+	}
+	return effects
+}
 
-// Publish returns an immutable copy of the conditions.
-func (s *State) Publish() View { return View{} }
+// Restore records that the platform lists a server as live that drained
+// before.
+func (s *State) Restore(now time.Time, id fleet.ServerID) Effects {
+	var effects Effects
+	v, known := s.servers[id]
+	if known && v.status.Condition == Draining {
+		v.reinstate(now, &effects)
+		v.warmUntil = now.Add(s.thresholds.warmup)
+	}
+	return effects
+}
--- a/core/health/enums.go
+++ b/core/health/enums.go
@@ -47,9 +47,10 @@
 const (
 	// Succeeded means that the server gave a whole answer that is no failure.
 	Succeeded Result = iota
-	// Failed means a failure of the server: an error, a broken answer or the
-	// deadline.
+	// Failed means that the server gave an error or a broken answer.
 	Failed
+	// TimedOut means that the deadline passed without a whole answer.
+	TimedOut
 	// Canceled means that the caller went away, which says nothing about the
 	// server.
 	Canceled
--- a/core/health/enums_enumer.go
+++ b/core/health/enums_enumer.go
@@ -213,11 +213,11 @@
 	return err
 }
 
-const _ResultName = "succeededfailedcanceledrefused"
+const _ResultName = "succeededfailedtimed-outcanceledrefused"
 
-var _ResultIndex = [...]uint8{0, 9, 15, 23, 30}
+var _ResultIndex = [...]uint8{0, 9, 15, 24, 32, 39}
 
-const _ResultLowerName = "succeededfailedcanceledrefused"
+const _ResultLowerName = "succeededfailedtimed-outcanceledrefused"
 
 func (i Result) String() string {
 	if i >= Result(len(_ResultIndex)-1) {
@@ -232,31 +232,35 @@
 	var x [1]struct{}
 	_ = x[Succeeded-(0)]
 	_ = x[Failed-(1)]
-	_ = x[Canceled-(2)]
-	_ = x[Refused-(3)]
+	_ = x[TimedOut-(2)]
+	_ = x[Canceled-(3)]
+	_ = x[Refused-(4)]
 }
 
-var _ResultValues = []Result{Succeeded, Failed, Canceled, Refused}
+var _ResultValues = []Result{Succeeded, Failed, TimedOut, Canceled, Refused}
 
 var _ResultNameToValueMap = map[string]Result{
 	_ResultName[0:9]:   Succeeded,
 	_ResultName[9:15]:  Failed,
-	_ResultName[15:23]: Canceled,
-	_ResultName[23:30]: Refused,
+	_ResultName[15:24]: TimedOut,
+	_ResultName[24:32]: Canceled,
+	_ResultName[32:39]: Refused,
 }
 
 var _ResultLowerNameToValueMap = map[string]Result{
 	_ResultLowerName[0:9]:   Succeeded,
 	_ResultLowerName[9:15]:  Failed,
-	_ResultLowerName[15:23]: Canceled,
-	_ResultLowerName[23:30]: Refused,
+	_ResultLowerName[15:24]: TimedOut,
+	_ResultLowerName[24:32]: Canceled,
+	_ResultLowerName[32:39]: Refused,
 }
 
 var _ResultNames = []string{
 	_ResultName[0:9],
 	_ResultName[9:15],
-	_ResultName[15:23],
-	_ResultName[23:30],
+	_ResultName[15:24],
+	_ResultName[24:32],
+	_ResultName[32:39],
 }
 
 // ResultString retrieves an enum value from the enum constants string name.
--- a/core/health/queries.go
+++ b/core/health/queries.go
@@ -1,6 +1,8 @@
 package health
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"galenaridge/core/fleet"
@@ -12,7 +14,8 @@
 	Condition Condition
 	Reason    Reason
 	Since     time.Time
-	Badness   float64
+	// Badness orders servers by how much speaks against them.
+	Badness float64
 	// Permit says whether the owner holds a permit for the server.
 	Permit bool
 	// Relapses counts ejections that have not decayed yet.
@@ -20,22 +23,115 @@
 }
 
 // View is an immutable copy of the conditions of the owned servers.
-type View struct{}
+type View struct {
+	statuses []Status
+	median   time.Duration
+}
+
+// Publish returns an immutable copy of the conditions.
+func (s *State) Publish() View {
+	statuses := make([]Status, 0, len(s.servers))
+	medians := make([]time.Duration, 0, len(s.servers))
+	for _, v := range s.servers {
+		statuses = append(statuses, v.status)
+		if v.status.Condition == Healthy && v.median > 0 {
+			medians = append(medians, v.median)
+		}
+	}
+	slices.SortFunc(statuses, func(a, b Status) int { return cmp.Compare(a.Server, b.Server) })
+	return View{statuses: statuses, median: middle(medians)}
+}
 
 // Status returns the condition of a server and whether it is known.
-func (v View) Status(server fleet.ServerID) (Status, bool) { return Status{}, false }
+func (v View) Status(id fleet.ServerID) (Status, bool) {
+	i, found := slices.BinarySearchFunc(v.statuses, id, func(s Status, id fleet.ServerID) int {
+		return cmp.Compare(s.Server, id)
+	})
+	if !found {
+		return Status{}, false
+	}
+	return v.statuses[i], true
+}
 
 // All returns the condition of each server in order of id.
-func (v View) All() []Status { return nil }
+func (v View) All() []Status { return slices.Clone(v.statuses) }
 
 // Usable returns the servers that accept connections and do not leave, for
 // the report to the steward.
-func (v View) Usable() []fleet.ServerID { return nil }
+func (v View) Usable() []fleet.ServerID {
+	var usable []fleet.ServerID
+	for _, s := range v.statuses {
+		if s.Condition != Dead && s.Condition != Draining {
+			usable = append(usable, s.Server)
+		}
+	}
+	return usable
+}
 
 // Wishes returns the servers that need or hold a permit, for the report to
-// the steward.
-func (v View) Wishes() []Wish { return nil }
+// the steward. A server on trial is about to return, so it gives way first.
+func (v View) Wishes() []Wish {
+	var wishes []Wish
+	for _, s := range v.statuses {
+		switch s.Condition {
+		case Suspect:
+			if s.Reason != Untested {
+				wishes = append(wishes, Wish{Server: s.Server, Badness: s.Badness})
+			}
+		case Ejected:
+			wishes = append(wishes, Wish{Server: s.Server, Badness: s.Badness})
+		case Trial:
+			wishes = append(wishes, Wish{Server: s.Server, Badness: s.Badness / 2})
+		case Healthy, Dead, Draining:
+		}
+	}
+	return wishes
+}
 
 // Median returns the recent median latency over the owned healthy servers;
 // zero if too few requests ended.
-func (v View) Median() time.Duration { return 0 }
+func (v View) Median() time.Duration { return v.median }
+
+// judge weighs the evidence against a server.
+func (s *State) judge(now time.Time, v *server) evidence {
+	c := s.compare(now, v)
+	found := c.judge(&v.window, &v.snapshot, now.Sub(s.resumed))
+	if found.reason == Slow && now.Before(v.warmUntil) {
+		return evidence{}
+	}
+	return found
+}
+
+// compare returns what a server is judged against: the other servers known
+// here if there are enough, else the median of the service, else, if that is
+// allowed, the latencies learned here.
+func (s *State) compare(now time.Time, v *server) comparison {
+	c := comparison{
+		thresholds: &s.thresholds,
+		stallAge:   s.thresholds.stallAge(&s.learned, s.options.Deadline),
+	}
+	medians := make([]time.Duration, 0, len(s.servers))
+	for _, other := range s.servers {
+		if other != v && other.status.Condition == Healthy && other.median > 0 {
+			medians = append(medians, other.median)
+		}
+	}
+	switch {
+	case len(medians) >= 2:
+		c.median = middle(medians)
+	case s.baseline > 0 && now.Sub(s.baselineAt) < baselineLife:
+		c.median = s.baseline
+	case s.thresholds.slowAlone && s.learned.total() >= learnedEnough:
+		c.median = s.learned.quantile(0.5)
+	}
+	return c
+}
+
+// medianOf returns the median latency over a window; zero if it holds fewer
+// than enough.
+func medianOf(w *window, enough int) time.Duration {
+	if w.sum.succeeded < enough {
+		return 0
+	}
+	return w.sum.latencies.quantile(0.5)
+}
