--- /dev/null
+++ b/core/questionnaire/doc.go
@@ -0,0 +1,3 @@
+// Package questionnaire holds what a team answers about its deployment and
+// generates the configuration document from the answers.
+package questionnaire
--- /dev/null
+++ b/io/document/doc.go
@@ -0,0 +1,3 @@
+// Package document reads and writes answers and configuration documents as
+// strict YAML.
+package document
