--- a/core/once/token.go
+++ b/core/once/token.go
@@ -1,12 +1,30 @@
 package once
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
 	"errors"
 	"time"
 
 	"galenaridge/core/fleet"
 )
 
+// Sizes in bytes of the parts of a token.
+const (
+	nonceSize = 12
+	// A MAC of 16 bytes keeps tokens short; 128 bits cannot be guessed within
+	// the life of a token.
+	macSize    = 16
+	secretSize = 32
+	// tokenLimit bounds the text of a token, so that parsing stays cheap.
+	tokenLimit = 512
+)
+
+// tokenFormat is the first byte of a token and changes with its layout.
+const tokenFormat = 1
+
 // Token is the compact text form of a permission to start requests at a home.
 type Token string
 
@@ -18,11 +36,111 @@
 	Expiry time.Duration
 }
 
-// ErrMalformed means that a text is not a token.
-var ErrMalformed = errors.New("malformed token")
+// Errors about tokens.
+var (
+	// ErrMalformed means that a text is not a token.
+	ErrMalformed = errors.New("malformed token")
+	// ErrEnded means that the incarnation has ended and issues no tokens.
+	ErrEnded = errors.New("incarnation has ended")
+)
 
 // ParseHome reads the claims of a token without checking its MAC, so that any
-// instance can forward a request to the home that the token names.
+// instance can forward a request to the home that the token names. It fails
+// with ErrMalformed.
 func ParseHome(token Token) (Claims, error) {
-	return Claims{}, ErrMalformed
+	claims, _, _, err := parse(token)
+	return claims, err
+}
+
+// parse splits a token into its claims, the bytes under the MAC, and the MAC.
+func parse(token Token) (claims Claims, payload, mac []byte, err error) {
+	if len(token) > tokenLimit {
+		return Claims{}, nil, nil, ErrMalformed
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(string(token))
+	if err != nil || len(raw) < macSize {
+		return Claims{}, nil, nil, ErrMalformed
+	}
+	// The decoder skips line breaks. A second text for the same token would
+	// be a second record for the same key, so only the canonical text counts.
+	if base64.RawURLEncoding.EncodeToString(raw) != string(token) {
+		return Claims{}, nil, nil, ErrMalformed
+	}
+	payload, mac = raw[:len(raw)-macSize], raw[len(raw)-macSize:]
+	claims, err = parsePayload(payload)
+	return claims, payload, mac, err
+}
+
+// parsePayload reads the layout that authority.issue writes.
+func parsePayload(payload []byte) (Claims, error) {
+	const fixed = 1 + 8 + 8 + nonceSize
+	if len(payload) < fixed || payload[0] != tokenFormat {
+		return Claims{}, ErrMalformed
+	}
+	incarnation := binary.BigEndian.Uint64(payload[1:])
+	expiry := binary.BigEndian.Uint64(payload[9:])
+	id, rest, ok := cutText(payload[fixed:])
+	if !ok {
+		return Claims{}, ErrMalformed
+	}
+	service, rest, ok := cutText(rest)
+	if !ok || len(rest) != 0 {
+		return Claims{}, ErrMalformed
+	}
+	return Claims{
+		Home:    fleet.Member{ID: fleet.InstanceID(id), Incarnation: fleet.Incarnation(incarnation)},
+		Service: fleet.ServiceName(service),
+		Expiry:  time.Duration(expiry),
+	}, nil
+}
+
+// cutText splits a text with its length in one byte before it from data.
+func cutText(data []byte) (text string, rest []byte, ok bool) {
+	if len(data) == 0 || len(data) < 1+int(data[0]) {
+		return "", nil, false
+	}
+	end := 1 + int(data[0])
+	return string(data[1:end]), data[end:], true
+}
+
+// authority issues and checks the tokens of one home.
+type authority struct {
+	home   fleet.Member
+	secret []byte
+}
+
+// issue returns the token for claims about a's home, with a nonce of
+// nonceSize bytes. It fails with ErrMalformed if a name is too long.
+func (a authority) issue(claims Claims, nonce []byte) (Token, error) {
+	if len(claims.Home.ID) > 255 || len(claims.Service) > 255 {
+		return "", ErrMalformed
+	}
+	payload := []byte{tokenFormat}
+	payload = binary.BigEndian.AppendUint64(payload, uint64(claims.Home.Incarnation))
+	payload = binary.BigEndian.AppendUint64(payload, uint64(claims.Expiry))
+	payload = append(payload, nonce...)
+	payload = append(payload, byte(len(claims.Home.ID)))
+	payload = append(payload, claims.Home.ID...)
+	payload = append(payload, byte(len(claims.Service)))
+	payload = append(payload, claims.Service...)
+	token := Token(base64.RawURLEncoding.EncodeToString(append(payload, a.mac(payload)...)))
+	if len(token) > tokenLimit {
+		return "", ErrMalformed
+	}
+	return token, nil
+}
+
+// check returns the claims of a token, and whether a's home issued it.
+func (a authority) check(token Token) (Claims, bool) {
+	claims, payload, mac, err := parse(token)
+	if err != nil || claims.Home != a.home || len(a.secret) == 0 {
+		return Claims{}, false
+	}
+	return claims, hmac.Equal(mac, a.mac(payload))
+}
+
+func (a authority) mac(payload []byte) []byte {
+	h := hmac.New(sha256.New, a.secret)
+	_, _ = h.Write(payload)
+	return h.Sum(nil)[:macSize]
 }
