--- a/core/once/property_test.go
+++ b/core/once/property_test.go
@@ -130,7 +130,7 @@
 	batches := last.Export(m.now, 2)
 	m.advance(t)
 	for _, batch := range batches {
-		if rapid.IntRange(0, 9).Draw(t, "lost") > 0 {
+		if rapid.IntRange(0, 2).Draw(t, "lost") > 0 {
 			successor.Import(m.now, batch)
 		}
 	}
