--- a/core/config/commands.go
+++ b/core/config/commands.go
@@ -1,5 +1,11 @@
 package config
 
+import (
+	"fmt"
+
+	"galenaridge/core/fleet"
+)
+
 // State holds the document in force. One goroutine gives it commands.
 type State struct{ view *View }
 
@@ -10,9 +16,52 @@
 type Decision struct {
 	Verdict Verdict
 	// Reason says why a document is invalid or in conflict; nil otherwise.
+	// It is a problem.List, a *DigestError or a *ConflictError.
 	Reason error
 }
 
+// DigestError means that a document does not match the digest it carries.
+type DigestError struct{ Carried, Computed fleet.Digest }
+
+// Error returns both digests.
+func (e *DigestError) Error() string {
+	return fmt.Sprintf("the document carries digest %q, but its digest is %q", e.Carried, e.Computed)
+}
+
+// ConflictError means that two documents have the same version.
+type ConflictError struct {
+	Version          fleet.Version
+	InForce, Offered fleet.Digest
+}
+
+// Error returns the version and both digests.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("version %d is in force with digest %q, but was offered with digest %q", e.Version, e.InForce, e.Offered)
+}
+
 // Offer adopts a valid document with a higher version than the one in force.
 // The document must not be modified later.
-func (s *State) Offer(d Document) Decision { return Decision{} }
+func (s *State) Offer(d Document) Decision {
+	inForce := s.view.document
+	if d.Version < inForce.Version {
+		return Decision{Verdict: Older}
+	}
+	computed := DigestOf(d)
+	if d.Digest != computed {
+		return Decision{Verdict: Invalid, Reason: &DigestError{Carried: d.Digest, Computed: computed}}
+	}
+	if d.Digest == inForce.Digest {
+		return Decision{Verdict: Same}
+	}
+	if err := Validate(d); err != nil {
+		return Decision{Verdict: Invalid, Reason: err}
+	}
+	if d.Version == inForce.Version {
+		return Decision{
+			Verdict: Conflict,
+			Reason:  &ConflictError{Version: d.Version, InForce: inForce.Digest, Offered: d.Digest},
+		}
+	}
+	s.view = newView(d)
+	return Decision{Verdict: Adopted}
+}
--- /dev/null
+++ b/core/config/config_test.go
@@ -0,0 +1,287 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/fleet"
+	"galenaridge/core/problem"
+)
+
+func validDocument(version fleet.Version) Document {
+	return Document{
+		Version: version, Deployment: "kuvuka", Domains: []fleet.Domain{"a", "b"},
+		Services: []Service{{
+			Name: "credit-svc", Slots: 4, Conns: 330, Floor: 4, Deadline: 2 * time.Second,
+			Routes: []Route{
+				{Method: "GET", Path: "/payouts/claim", Protected: true},
+				{Method: "POST", Path: "/search", Protected: false},
+				{Method: "POST", Path: "/search/save", Protected: true},
+				{Method: "*", Path: "/reports", Protected: false},
+				{Method: "PUT", Path: "/reports", Protected: true},
+			},
+		}, {Name: "bundle-svc", Slots: 4, Conns: 330, Floor: 14, Deadline: time.Second}},
+		Tenants: []Tenant{{Name: "app", Class: "people", Weight: 3}, {Name: "batch", Class: "jobs", Weight: 1}},
+		Limits:  Limits{Body: 1 << 20, Header: 16 << 10, Assignment: 5 * time.Second, Token: 10 * time.Minute},
+	}
+}
+
+func signed(d Document) Document {
+	d.Digest = DigestOf(d)
+	return d
+}
+
+// TestValidate guards against documents that instances could not enforce, and
+// against problems that do not name the field.
+func TestValidate(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Document)
+		path   string
+	}{
+		{"version", func(d *Document) { d.Version = 0 }, "version"},
+		{"deployment", func(d *Document) { d.Deployment = "Kuvuka" }, "deployment"},
+		{"no domain", func(d *Document) { d.Domains = nil }, "domains"},
+		{"domain twice", func(d *Document) { d.Domains = []fleet.Domain{"a", "a"} }, "domains[1]"},
+		{"no service", func(d *Document) { d.Services = nil }, "services"},
+		{"service twice", func(d *Document) { d.Services[1].Name = "credit-svc" }, "services[1].name"},
+		{"no slots", func(d *Document) { d.Services[0].Slots = 0 }, "services[0].slots"},
+		{"fewer connections than slots", func(d *Document) { d.Services[0].Conns = 3 }, "services[0].conns"},
+		{"no floor", func(d *Document) { d.Services[1].Floor = 0 }, "services[1].floor"},
+		{"deadline", func(d *Document) { d.Services[0].Deadline = 6 * time.Minute }, "services[0].deadline"},
+		{"preference", func(d *Document) { d.Services[0].Detect = 9 }, "services[0].detect"},
+		{"method", func(d *Document) { d.Services[0].Routes[0].Method = "get" }, "services[0].routes[0].method"},
+		{"path", func(d *Document) { d.Services[0].Routes[0].Path = "/a/../b" }, "services[0].routes[0].path"},
+		{"slash at the end", func(d *Document) { d.Services[0].Routes[0].Path = "/a/" }, "services[0].routes[0].path"},
+		{"route twice", func(d *Document) { d.Services[0].Routes[1] = d.Services[0].Routes[0] }, "services[0].routes[1]"},
+		{"tenant twice", func(d *Document) { d.Tenants[1].Name = "app" }, "tenants[1].name"},
+		{"class", func(d *Document) { d.Tenants[0].Class = "" }, "tenants[0].class"},
+		{"weight", func(d *Document) { d.Tenants[0].Weight = 0 }, "tenants[0].weight"},
+		{"body", func(d *Document) { d.Limits.Body = 1 }, "limits.body"},
+		{"header", func(d *Document) { d.Limits.Header = 2 << 20 }, "limits.header"},
+		{"assignment", func(d *Document) { d.Limits.Assignment = 0 }, "limits.assignment"},
+		{"token shorter than its use", func(d *Document) {
+			d.Services[0].Deadline = 20 * time.Second
+			d.Limits.Token = 24 * time.Second
+		}, "limits.token"},
+	}
+	require.NoError(t, Validate(validDocument(1)))
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := validDocument(1)
+			tt.change(&d)
+			list, ok := problem.As(Validate(d))
+			require.True(t, ok)
+			require.Len(t, list, 1)
+			require.Equal(t, tt.path, list[0].Path)
+			require.NotEmpty(t, list[0].Expected)
+		})
+	}
+}
+
+// TestDigest guards against a digest that depends on the order of entries, or
+// that misses a field.
+func TestDigest(t *testing.T) {
+	base := DigestOf(validDocument(1))
+	reordered := validDocument(1)
+	slices.Reverse(reordered.Domains)
+	slices.Reverse(reordered.Services)
+	slices.Reverse(reordered.Tenants)
+	slices.Reverse(reordered.Services[1].Routes)
+	reordered.Digest = "ignored"
+	require.Equal(t, base, DigestOf(reordered))
+
+	tests := []struct {
+		name   string
+		change func(*Document)
+	}{
+		{"version", func(d *Document) { d.Version++ }},
+		{"deployment", func(d *Document) { d.Deployment = "x" }},
+		{"domain", func(d *Document) { d.Domains[0] = "c" }},
+		{"service name", func(d *Document) { d.Services[0].Name = "x" }},
+		{"slots", func(d *Document) { d.Services[0].Slots++ }},
+		{"connections", func(d *Document) { d.Services[0].Conns++ }},
+		{"floor", func(d *Document) { d.Services[0].Floor++ }},
+		{"deadline", func(d *Document) { d.Services[0].Deadline++ }},
+		{"preference", func(d *Document) { d.Services[0].Detect = fleet.Fast }},
+		{"method", func(d *Document) { d.Services[0].Routes[0].Method = "PUT" }},
+		{"path", func(d *Document) { d.Services[0].Routes[0].Path = "/x" }},
+		{"protected", func(d *Document) { d.Services[0].Routes[0].Protected = false }},
+		{"route moved to another service", func(d *Document) {
+			d.Services[1].Routes = d.Services[0].Routes
+			d.Services[0].Routes = nil
+		}},
+		{"tenant", func(d *Document) { d.Tenants[0].Name = "x" }},
+		{"class", func(d *Document) { d.Tenants[0].Class = "x" }},
+		{"weight", func(d *Document) { d.Tenants[0].Weight++ }},
+		{"body", func(d *Document) { d.Limits.Body++ }},
+		{"header", func(d *Document) { d.Limits.Header++ }},
+		{"assignment", func(d *Document) { d.Limits.Assignment++ }},
+		{"token", func(d *Document) { d.Limits.Token++ }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := validDocument(1)
+			tt.change(&d)
+			require.NotEqual(t, base, DigestOf(d))
+		})
+	}
+}
+
+// TestOffer guards against a version that goes back, and against two
+// documents in force under one version.
+func TestOffer(t *testing.T) {
+	other := validDocument(2)
+	other.Limits.Body++
+	broken := validDocument(3)
+	broken.Services[0].Slots = 0
+	forged := signed(validDocument(3))
+	forged.Limits.Body++
+	tests := []struct {
+		name    string
+		offer   Document
+		verdict Verdict
+		reason  any
+		version fleet.Version
+	}{
+		{"older", signed(validDocument(1)), Older, nil, 2},
+		{"same", signed(validDocument(2)), Same, nil, 2},
+		{"same version, other content", signed(other), Conflict, new(*ConflictError), 2},
+		{"newer", signed(validDocument(9)), Adopted, nil, 9},
+		{"newer but invalid", signed(broken), Invalid, new(problem.List), 2},
+		{"newer with a wrong digest", forged, Invalid, new(*DigestError), 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := NewState()
+			require.False(t, s.View().Ready())
+			require.Equal(t, Adopted, s.Offer(signed(validDocument(2))).Verdict)
+			before := s.View()
+			d := s.Offer(tt.offer)
+			require.Equal(t, tt.verdict, d.Verdict)
+			if tt.reason == nil {
+				require.NoError(t, d.Reason)
+			} else {
+				require.ErrorAs(t, d.Reason, tt.reason)
+			}
+			require.Equal(t, tt.version, s.View().Version())
+			require.Equal(t, fleet.Version(2), before.Version(), "a view never changes")
+		})
+	}
+}
+
+// TestProtected guards against a non-idempotent request that is taken for a
+// repeatable one.
+func TestProtected(t *testing.T) {
+	tests := []struct {
+		name, method, path string
+		protected          bool
+	}{
+		{"safe method by default", "GET", "/bundles", false},
+		{"other method by default", "POST", "/bundles", true},
+		{"unknown method", "get", "/bundles", true},
+		{"protected GET", "GET", "/payouts/claim", true},
+		{"below the prefix", "GET", "/payouts/claim/7", true},
+		{"above the prefix", "GET", "/payouts", false},
+		{"prefix of a segment only", "GET", "/payouts/claimed", false},
+		{"slash at the end", "GET", "/payouts/claim/", true},
+		{"query", "GET", "/payouts/claim?x=/search", true},
+		{"idempotent POST", "POST", "/search/any", false},
+		{"longest prefix", "POST", "/search/save/1", true},
+		{"any method", "DELETE", "/reports/1", false},
+		{"own method before any", "PUT", "/reports/1", true},
+		{"escaped", "GET", "/payouts/%63laim", true},
+		{"escaped slash", "GET", "/payouts%2Fclaim", true},
+		{"dots", "POST", "/search/../payouts", true},
+		{"double slash", "GET", "//payouts/claim", true},
+		{"broken escape", "GET", "/%zz", true},
+		{"no path", "GET", "", false},
+		{"very long path", "GET", strings.Repeat("/a", 4000), false},
+	}
+	s := NewState()
+	require.Equal(t, Adopted, s.Offer(signed(validDocument(1))).Verdict)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.protected, s.View().Protected("credit-svc", tt.method, tt.path))
+		})
+	}
+	require.True(t, s.View().Protected("unknown", "GET", "/"))
+}
+
+// TestTenant guards against labels that grow with what callers send.
+func TestTenant(t *testing.T) {
+	s := NewState()
+	require.Equal(t, DefaultTenant, s.View().Tenant("app").Name)
+	s.Offer(signed(validDocument(1)))
+	require.Equal(t, 3, s.View().Tenant("app").Weight)
+	require.Equal(t, DefaultTenant, s.View().Tenant("anything").Name)
+}
+
+// TestWatchers guards against too many reads of the platform, and against a
+// platform that nobody watches although one member reaches it.
+func TestWatchers(t *testing.T) {
+	tests := []struct {
+		name    string
+		members int
+		failing int
+		want    int
+	}{
+		{"none", 0, 0, 0},
+		{"one", 1, 0, 1},
+		{"all well", 7, 0, 2},
+		{"first failing", 7, 1, 2},
+		{"both failing", 7, 2, 4},
+		{"four failing", 7, 4, 6},
+		{"all failing", 7, 7, 7},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var live []Watcher
+			for i := range tt.members {
+				live = append(live, Watcher{ID: fleet.InstanceID(fmt.Sprintf("i%d", i))})
+			}
+			order := Watchers("a", failAll(live))
+			for i := range live {
+				live[i].Failing = slices.Index(order, live[i].ID) < tt.failing
+			}
+			got := Watchers("a", live)
+			require.Equal(t, order[:tt.want], got)
+			slices.Reverse(live)
+			require.Equal(t, got, Watchers("a", live), "the order of the list must not matter")
+		})
+	}
+}
+
+func failAll(live []Watcher) []Watcher {
+	failing := slices.Clone(live)
+	for i := range failing {
+		failing[i].Failing = true
+	}
+	return failing
+}
+
+// BenchmarkProtected measures a lookup at the size of two years' time: 3,700
+// routes over 210 services.
+func BenchmarkProtected(b *testing.B) {
+	d := validDocument(1)
+	d.Services = nil
+	for i := range 210 {
+		s := Service{Name: fleet.ServiceName(fmt.Sprintf("svc-%d", i)), Slots: 1, Conns: 1, Floor: 1, Deadline: time.Second}
+		for j := range 3700 / 210 {
+			s.Routes = append(s.Routes, Route{Method: "GET", Path: fmt.Sprintf("/area-%d/part", j), Protected: true})
+		}
+		d.Services = append(d.Services, s)
+	}
+	s := NewState()
+	require.Equal(b, Adopted, s.Offer(signed(d)).Verdict)
+	view := s.View()
+	b.ReportAllocs()
+	for b.Loop() {
+		view.Protected("svc-100", "GET", "/area-9/other/123?x=1")
+	}
+}
--- a/core/config/digest.go
+++ b/core/config/digest.go
@@ -1,8 +1,62 @@
 package config
 
-import "galenaridge/core/fleet"
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"slices"
+
+	"galenaridge/core/fleet"
+)
+
+// canonicalFormat is the first line of the canonical form. It changes with
+// the form, so that digests of two forms never agree by accident.
+const canonicalFormat = "galenaridge configuration 1\n"
 
 // DigestOf returns the SHA-256 digest over the canonical form of a document:
 // all fields but Digest, with lists sorted, so that it does not depend on the
 // encoding or on the order of entries.
-func DigestOf(d Document) fleet.Digest { return "" }
+func DigestOf(d Document) fleet.Digest {
+	h := sha256.New()
+	writeCanonical(h, d)
+	return fleet.Digest(hex.EncodeToString(h.Sum(nil)))
+}
+
+// writeCanonical writes one line for each entry. Texts are quoted, so that no
+// text can end its line; durations are in nanoseconds. Writing to w must not
+// fail.
+func writeCanonical(w io.Writer, d Document) {
+	_, _ = io.WriteString(w, canonicalFormat)
+	_, _ = fmt.Fprintf(w, "version %d\ndeployment %q\n", d.Version, d.Deployment)
+	for _, domain := range slices.Sorted(slices.Values(d.Domains)) {
+		_, _ = fmt.Fprintf(w, "domain %q\n", domain)
+	}
+	services := slices.SortedFunc(slices.Values(d.Services), func(a, b Service) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+	for _, s := range services {
+		writeService(w, s)
+	}
+	tenants := slices.SortedFunc(slices.Values(d.Tenants), func(a, b Tenant) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+	for _, t := range tenants {
+		_, _ = fmt.Fprintf(w, "tenant %q class %q weight %d\n", t.Name, t.Class, t.Weight)
+	}
+	l := d.Limits
+	_, _ = fmt.Fprintf(w, "limits body %d header %d assignment %d token %d\n",
+		l.Body, l.Header, int64(l.Assignment), int64(l.Token))
+}
+
+func writeService(w io.Writer, s Service) {
+	_, _ = fmt.Fprintf(w, "service %q slots %d conns %d floor %d deadline %d detect %s\n",
+		s.Name, s.Slots, s.Conns, s.Floor, int64(s.Deadline), s.Detect)
+	routes := slices.SortedFunc(slices.Values(s.Routes), func(a, b Route) int {
+		return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Method, b.Method))
+	})
+	for _, r := range routes {
+		_, _ = fmt.Fprintf(w, "route %q %q protected %t\n", r.Method, r.Path, r.Protected)
+	}
+}
--- a/core/config/queries.go
+++ b/core/config/queries.go
@@ -6,10 +6,32 @@
 // number of tenants seen by queues and metrics is bounded.
 const DefaultTenant fleet.Tenant = "default"
 
-// View is the immutable configuration in force.
-type View struct{ document Document }
+// DefaultClass is the class of the default tenant unless configured.
+const DefaultClass fleet.Class = "default"
 
-func newView(d Document) *View { return &View{document: d} }
+// View is the immutable configuration in force. It is safe for concurrent use.
+type View struct {
+	document Document
+	services map[fleet.ServiceName]*serviceIndex
+	tenants  map[fleet.Tenant]Tenant
+}
+
+// newView indexes a document for lookups on the data path.
+func newView(d Document) *View {
+	v := &View{
+		document: d,
+		services: make(map[fleet.ServiceName]*serviceIndex, len(d.Services)),
+		tenants:  make(map[fleet.Tenant]Tenant, len(d.Tenants)+1),
+	}
+	v.tenants[DefaultTenant] = Tenant{Name: DefaultTenant, Class: DefaultClass, Weight: 1}
+	for _, s := range d.Services {
+		v.services[s.Name] = newServiceIndex(s)
+	}
+	for _, t := range d.Tenants {
+		v.tenants[t.Name] = t
+	}
+	return v
+}
 
 // View returns the configuration in force. It is never nil.
 func (s *State) View() *View { return s.view }
@@ -27,11 +49,25 @@
 func (v *View) Document() Document { return v.document }
 
 // Service returns the configuration of a service.
-func (v *View) Service(name fleet.ServiceName) (Service, bool) { return Service{}, false }
+func (v *View) Service(name fleet.ServiceName) (Service, bool) {
+	index, ok := v.services[name]
+	if !ok {
+		return Service{}, false
+	}
+	return index.service, true
+}
 
 // Protected reports whether a request is non-idempotent. The path may carry a
-// query, which is ignored.
-func (v *View) Protected(service fleet.ServiceName, method, path string) bool { return true }
+// query, which is ignored. Requests to an unknown service are protected.
+func (v *View) Protected(service fleet.ServiceName, method, path string) bool {
+	index, ok := v.services[service]
+	return !ok || index.protected(method, path)
+}
 
 // Tenant returns the tenant of that name, or the default tenant.
-func (v *View) Tenant(name fleet.Tenant) Tenant { return Tenant{} }
+func (v *View) Tenant(name fleet.Tenant) Tenant {
+	if t, ok := v.tenants[name]; ok {
+		return t
+	}
+	return v.tenants[DefaultTenant]
+}
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -1,5 +1,116 @@
 package config
 
-// Validate returns Problems if the document breaks a rule. It does not check
-// the digest.
-func Validate(d Document) error { return nil }
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"galenaridge/core/fleet"
+	"galenaridge/core/problem"
+)
+
+// AnyMethod is the method of a route that matches every method.
+const AnyMethod = "*"
+
+// Methods lists the methods that a route can name, apart from AnyMethod.
+var Methods = []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"}
+
+// Bounds of the numbers in a document.
+const (
+	minDeadline   = 10 * time.Millisecond
+	maxDeadline   = 5 * time.Minute
+	maxSlots      = fleet.Slots(10_000)
+	maxConns      = fleet.Conns(100_000)
+	maxFloor      = fleet.Servers(100_000)
+	maxWeight     = 1000
+	minBody       = 1 << 10
+	maxBody       = 64 << 20
+	minHeader     = 1 << 10
+	maxHeader     = 1 << 20
+	minAssignment = time.Second
+	maxAssignment = 5 * time.Minute
+	minToken      = 10 * time.Second
+	maxToken      = 24 * time.Hour
+)
+
+// Validate returns a problem.List if the document breaks a rule. It does not
+// check the digest.
+func Validate(d Document) error {
+	var c problem.Checker
+	c.That(d.Version > 0, "version", d.Version, "a whole number above 0")
+	c.Name("deployment", d.Deployment)
+	c.That(len(d.Domains) > 0, "domains", "", "at least one failure domain")
+	for i, domain := range d.Domains {
+		c.Name(problem.Index("domains", i), string(domain))
+	}
+	problem.Unique(&c, "domains", "", len(d.Domains), func(i int) fleet.Domain { return d.Domains[i] })
+	c.That(len(d.Services) > 0, "services", "", "at least one service")
+	for i, s := range d.Services {
+		checkService(&c, problem.Index("services", i), s)
+	}
+	problem.Unique(&c, "services", ".name", len(d.Services), func(i int) fleet.ServiceName { return d.Services[i].Name })
+	for i, t := range d.Tenants {
+		checkTenant(&c, problem.Index("tenants", i), t)
+	}
+	problem.Unique(&c, "tenants", ".name", len(d.Tenants), func(i int) fleet.Tenant { return d.Tenants[i].Name })
+	checkLimits(&c, d)
+	return c.Err()
+}
+
+func checkService(c *problem.Checker, path string, s Service) {
+	c.Name(path+".name", string(s.Name))
+	problem.Between(c, path+".slots", s.Slots, 1, maxSlots)
+	problem.Between(c, path+".conns", s.Conns, 1, maxConns)
+	c.That(int(s.Conns) >= int(s.Slots), path+".conns", s.Conns, fmt.Sprintf("at least the %d slots", s.Slots))
+	problem.Between(c, path+".floor", s.Floor, 1, maxFloor)
+	c.Duration(path+".deadline", s.Deadline, minDeadline, maxDeadline)
+	c.That(s.Detect.IsAPreference(), path+".detect", s.Detect, strings.Join(fleet.PreferenceStrings(), " or "))
+	for i, r := range s.Routes {
+		CheckRoute(c, problem.Index(path+".routes", i), r.Method, r.Path)
+	}
+	type request struct{ method, path string }
+	problem.Unique(c, path+".routes", "", len(s.Routes), func(i int) request {
+		return request{s.Routes[i].Method, s.Routes[i].Path}
+	})
+}
+
+// CheckRoute adds the problems of a route's method and path.
+func CheckRoute(c *problem.Checker, path, method, prefix string) {
+	c.That(
+		method == AnyMethod || slices.Contains(Methods, method),
+		path+".method", method, "one of "+strings.Join(Methods, ", ")+" or "+AnyMethod,
+	)
+	c.That(
+		strings.HasPrefix(prefix, "/") && (prefix == "/" || !strings.HasSuffix(prefix, "/")) &&
+			!ambiguous(prefix) && !strings.ContainsAny(prefix, "?#* \\"),
+		path+".path", prefix, `a path such as "/swaps/place", without a query, an escape, an empty segment or a slash at the end`,
+	)
+}
+
+func checkTenant(c *problem.Checker, path string, t Tenant) {
+	c.Name(path+".name", string(t.Name))
+	c.Name(path+".class", string(t.Class))
+	problem.Between(c, path+".weight", t.Weight, 1, maxWeight)
+}
+
+func checkLimits(c *problem.Checker, d Document) {
+	problem.Between(c, "limits.body", d.Limits.Body, minBody, maxBody)
+	problem.Between(c, "limits.header", d.Limits.Header, minHeader, maxHeader)
+	c.Duration("limits.assignment", d.Limits.Assignment, minAssignment, maxAssignment)
+	c.Duration("limits.token", d.Limits.Token, minToken, maxToken)
+	// A token comes with an assignment and is used until the last request
+	// under it has ended, so it must not expire before that.
+	least := d.Limits.Assignment + LongestDeadline(d)
+	c.That(d.Limits.Token >= least, "limits.token", d.Limits.Token,
+		fmt.Sprintf("at least the assignment and the longest deadline together, %v", least))
+}
+
+// LongestDeadline returns the longest deadline of all services.
+func LongestDeadline(d Document) time.Duration {
+	longest := time.Duration(0)
+	for _, s := range d.Services {
+		longest = max(longest, s.Deadline)
+	}
+	return longest
+}
--- /dev/null
+++ b/core/problem/checker.go
@@ -0,0 +1,68 @@
+package problem
+
+import (
+	"cmp"
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// nameRule describes namePattern.
+const nameRule = "1 to 63 lower-case letters, digits and hyphens, beginning with a letter"
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// Checker collects problems. The zero value is ready for use.
+type Checker struct{ list List }
+
+// Add records a problem.
+func (c *Checker) Add(path string, value any, expected string) {
+	c.list = append(c.list, Problem{Path: path, Value: fmt.Sprint(value), Expected: expected})
+}
+
+// That records a problem unless ok.
+func (c *Checker) That(ok bool, path string, value any, expected string) {
+	if !ok {
+		c.Add(path, value, expected)
+	}
+}
+
+// Name records a problem unless value is a name.
+func (c *Checker) Name(path, value string) {
+	c.That(namePattern.MatchString(value), path, value, nameRule)
+}
+
+// Between records a problem unless value is from low to high.
+func Between[T cmp.Ordered](c *Checker, path string, value, low, high T) {
+	c.That(value >= low && value <= high, path, value, fmt.Sprintf("%v to %v", low, high))
+}
+
+// Duration records a problem unless value is from low to high.
+func (c *Checker) Duration(path string, value, low, high time.Duration) {
+	Between(c, path, value, low, high)
+}
+
+// Unique records a problem for each of n entries whose key an earlier entry
+// has. The path of an entry is path[i].field.
+func Unique[K comparable](c *Checker, path, field string, n int, key func(int) K) {
+	seen := make(map[K]int, n)
+	for i := range n {
+		k := key(i)
+		if first, ok := seen[k]; ok {
+			c.Add(Index(path, i)+field, k, fmt.Sprintf("a value that differs from %s[%d]", path, first))
+			continue
+		}
+		seen[k] = i
+	}
+}
+
+// Index returns the path of entry i of a list.
+func Index(path string, i int) string { return fmt.Sprintf("%s[%d]", path, i) }
+
+// Err returns the problems as a List, or nil if there are none.
+func (c *Checker) Err() error {
+	if len(c.list) == 0 {
+		return nil
+	}
+	return c.list
+}
--- a/core/questionnaire/generate.go
+++ b/core/questionnaire/generate.go
@@ -18,9 +18,9 @@
 	Notes    []Note
 }
 
-// Validate returns config.Problems if the answers break a rule.
+// Validate returns a problem.List if the answers break a rule.
 func Validate(a Answers) error { return nil }
 
 // Generate returns the document that follows from the answers, with the
-// version after previous. It returns config.Problems for wrong answers.
+// version after previous. It returns a problem.List for wrong answers.
 func Generate(a Answers, previous fleet.Version) (Draft, error) { return Draft{}, nil }
