--- /dev/null
+++ b/standin/cmd/server/main.go
@@ -0,0 +1,103 @@
+// Command server runs one or more stand-in servers in one process.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"galenaridge/core/fleet"
+	"galenaridge/standin/jsontime"
+	"galenaridge/standin/server"
+)
+
+func main() {
+	logger := logrus.New()
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	command := &cli.Command{
+		Name:  "server",
+		Usage: "stand-in for servers of an upstream service",
+		Flags: flags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return run(ctx, c, logger)
+		},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		logger.WithError(err).Fatal("cannot serve")
+	}
+}
+
+func flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "file", Usage: "JSON list of servers; replaces all other flags"},
+		&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address for work and health probes"},
+		&cli.StringFlag{Name: "control", Value: "127.0.0.1:0", Usage: "address for control requests"},
+		&cli.StringFlag{Name: "id", Value: "server-1", Usage: "id of the server"},
+		&cli.StringFlag{Name: "service", Value: "service", Usage: "name of the service"},
+		&cli.IntFlag{Name: "slots", Value: 4, Usage: "requests in progress at once"},
+		&cli.IntFlag{Name: "conns", Usage: "connection limit; 0 means none"},
+		&cli.DurationFlag{Name: "mean", Usage: "mean service time"},
+		&cli.DurationFlag{Name: "jitter", Usage: "largest deviation from the mean"},
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the service times"},
+		&cli.IntFlag{Name: "cold", Usage: "number of first requests that take longer"},
+		&cli.FloatFlag{Name: "cold-factor", Value: 1, Usage: "how many times longer they take"},
+	}
+}
+
+func run(ctx context.Context, c *cli.Command, logger *logrus.Logger) error {
+	all, err := options(c)
+	if err != nil {
+		return err
+	}
+	clock := clockwork.NewRealClock()
+	for _, o := range all {
+		s, err := server.Start(o, clock)
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		logger.WithFields(logrus.Fields{"id": o.ID, "listen": s.Listen(), "control": s.Control()}).Info("serving")
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func options(c *cli.Command) ([]server.Options, error) {
+	if c.String("file") != "" {
+		return readFile(c.String("file"))
+	}
+	return []server.Options{{
+		ID:         fleet.ServerID(c.String("id")),
+		Service:    fleet.ServiceName(c.String("service")),
+		Listen:     fleet.Address(c.String("listen")),
+		Control:    fleet.Address(c.String("control")),
+		Slots:      fleet.Slots(c.Int("slots")),
+		Conns:      fleet.Conns(c.Int("conns")),
+		Mean:       jsontime.Duration(c.Duration("mean")),
+		Jitter:     jsontime.Duration(c.Duration("jitter")),
+		Seed:       c.Uint64("seed"),
+		Cold:       c.Int("cold"),
+		ColdFactor: c.Float("cold-factor"),
+	}}, nil
+}
+
+func readFile(name string) ([]server.Options, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the list of servers")
+	}
+	var all []server.Options
+	if err := json.Unmarshal(text, &all); err != nil {
+		return nil, eris.Wrapf(err, "parse %s", name)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/standin/jsontime/duration.go
@@ -0,0 +1,24 @@
+package jsontime
+
+import "time"
+
+// Duration is a time.Duration whose text form is that of time.ParseDuration.
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText returns the text form, such as "4.5ms".
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText parses the text form; it fails on text without a unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
--- /dev/null
+++ b/standin/server/control.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// maxFaultBytes bounds the body of a request to the control listener.
+const maxFaultBytes = 64 << 10
+
+// controlRoutes returns the handler of the control listener.
+func (s *Server) controlRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /stats", s.getStats)
+	mux.HandleFunc("GET /keys", s.getKeys)
+	mux.HandleFunc("POST /fault", s.postFault)
+	mux.HandleFunc("POST /drain", s.postDrain)
+	return mux
+}
+
+func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Stats())
+}
+
+func (s *Server) getKeys(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Keys())
+}
+
+func (s *Server) postFault(w http.ResponseWriter, r *http.Request) {
+	var fault Fault
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFaultBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&fault); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.SetFault(fault); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) postDrain(w http.ResponseWriter, _ *http.Request) {
+	s.Drain()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/server/server_test.go
@@ -0,0 +1,230 @@
+package server_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"galenaridge/core/fleet"
+	"galenaridge/standin/jsontime"
+	"galenaridge/standin/server"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start runs a server with one slot unless the options say more.
+func start(t *testing.T, o server.Options) (*server.Server, *http.Client) {
+	t.Helper()
+	o.ID, o.Service = "s1", "bundle-svc"
+	o.Listen, o.Control = "127.0.0.1:0", "127.0.0.1:0"
+	o.Slots = max(o.Slots, 1)
+	s, err := server.Start(o, clockwork.NewRealClock())
+	require.NoError(t, err)
+	transport := &http.Transport{}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		s.Close()
+	})
+	return s, &http.Client{Transport: transport}
+}
+
+// answer is what came back of one request.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// get sends one request with header pairs.
+func get(ctx context.Context, s *server.Server, c *http.Client, path string, headers ...string) (answer, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(s.Listen())+path, http.NoBody)
+	if err != nil {
+		return answer{}, err
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := c.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, body}, err
+}
+
+// Guards against a stand-in whose answers hide a wrong or truncated body, or
+// whose refusals count as runs.
+func TestWorkAnswers(t *testing.T) {
+	past := strconv.FormatInt(time.Now().Add(-time.Second).UnixMilli(), 10)
+	soon := func() string { return strconv.FormatInt(time.Now().Add(30*time.Millisecond).UnixMilli(), 10) }
+	tests := []struct {
+		name    string
+		fault   server.Fault
+		mean    time.Duration
+		headers []string
+		status  int
+		size    int
+		broken  bool
+		ran     int
+	}{
+		{name: "json", status: 200, size: -1, ran: 1},
+		{name: "sized", headers: []string{server.HeaderBodySize, "70000"}, status: 200, size: 70000, ran: 1},
+		{name: "bad size", headers: []string{server.HeaderBodySize, "x"}, status: 400, size: -1},
+		{name: "bad deadline", headers: []string{server.HeaderDeadline, "x"}, status: 400, size: -1},
+		{name: "past deadline", headers: []string{server.HeaderDeadline, past}, status: 504, size: -1},
+		{name: "deadline during work", mean: time.Minute, headers: []string{server.HeaderDeadline, soon()}, status: 504, size: -1, ran: 1},
+		{name: "fail", fault: server.Fault{Kind: server.FaultFail}, status: 500, size: -1, ran: 1},
+		{name: "truncate", fault: server.Fault{Kind: server.FaultTruncate}, status: 200, broken: true, ran: 1},
+		{name: "stall until deadline", fault: server.Fault{Kind: server.FaultStall}, headers: []string{server.HeaderDeadline, soon()}, status: 504, size: -1, ran: 1},
+		{name: "flap stalls first", fault: server.Fault{Kind: server.FaultFlap, Period: jsontime.Duration(time.Minute)}, headers: []string{server.HeaderDeadline, soon()}, status: 504, size: -1, ran: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, c := start(t, server.Options{Mean: jsontime.Duration(test.mean)})
+			require.NoError(t, s.SetFault(test.fault))
+			headers := append([]string{server.HeaderCaller, "c1", server.HeaderKey, "k1"}, test.headers...)
+			if i := len(headers) - 1; headers[i-1] == server.HeaderDeadline && test.ran == 1 {
+				headers[i] = soon()
+			}
+			got, err := get(t.Context(), s, c, "/x", headers...)
+			if test.broken {
+				require.Error(t, err)
+			} else {
+				require.NoError(t, err)
+				assert.Equal(t, test.status, got.status)
+				assert.NotEmpty(t, got.header.Get(server.HeaderLoad))
+			}
+			if !test.broken && test.status == 200 {
+				assert.Equal(t, "c1", got.header.Get(server.HeaderCaller))
+				assert.Equal(t, server.Digest(got.body), got.header.Get(server.HeaderBodyDigest))
+			}
+			if test.size >= 0 && !test.broken {
+				assert.Len(t, got.body, test.size)
+			}
+			assert.Equal(t, test.ran, s.Keys()["k1"])
+		})
+	}
+}
+
+// Guards against probes that show a partial fault, which would make every
+// prober look good.
+func TestHealthIgnoresFaults(t *testing.T) {
+	tests := []server.FaultKind{server.FaultNone, server.FaultStall, server.FaultFail, server.FaultFlap, server.FaultTruncate}
+	for _, kind := range tests {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			s, c := start(t, server.Options{})
+			require.NoError(t, s.SetFault(server.Fault{Kind: kind}))
+			began := time.Now()
+			got, err := get(t.Context(), s, c, "/healthz")
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, got.status)
+			assert.GreaterOrEqual(t, time.Since(began), 25*time.Millisecond)
+			assert.Zero(t, s.Stats().Started)
+		})
+	}
+}
+
+// Guards against peaks that leave out the requests and connections beyond
+// the limits, which would hide an overshoot.
+func TestLimits(t *testing.T) {
+	tests := []struct {
+		name      string
+		conns     fleet.Conns
+		parallel  int
+		shed      int
+		peakConns int
+	}{
+		{name: "within", parallel: 2, peakConns: 2},
+		{name: "beyond slots", parallel: 5, shed: 3, peakConns: 5},
+		{name: "beyond connections", conns: 2, parallel: 3, peakConns: 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, c := start(t, server.Options{Slots: 2, Conns: test.conns})
+			require.NoError(t, s.SetFault(server.Fault{Kind: server.FaultStall}))
+			ctx, cancel := context.WithCancel(t.Context())
+			var group sync.WaitGroup
+			for range test.parallel {
+				group.Go(func() { _, _ = get(ctx, s, c, "/") })
+			}
+			assert.Eventually(t, func() bool {
+				stats := s.Stats()
+				return stats.Shed == test.shed && stats.PeakConns == test.peakConns && stats.InFlight == 2
+			}, 2*time.Second, time.Millisecond)
+			assert.Equal(t, 2+min(test.shed, 1), s.Stats().PeakRequests)
+			cancel()
+			group.Wait()
+			assert.Eventually(t, func() bool { return s.Stats().Aborted == 2 }, 2*time.Second, time.Millisecond,
+				"a client that leaves must free its slot")
+		})
+	}
+}
+
+// Guards against a control listener that accepts a mistyped fault and leaves
+// the server healthy, so that a run measures nothing.
+func TestControl(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		body   string
+		status int
+		check  func(t *testing.T, s *server.Server, c *http.Client)
+	}{
+		{"unknown kind", "/fault", `{"kind":"bend"}`, 400, nil},
+		{"unknown field", "/fault", `{"kind":"slow","facter":2}`, 400, nil},
+		{"misreport", "/fault", `{"kind":"none","load":7}`, 204, func(t *testing.T, s *server.Server, c *http.Client) {
+			got, err := get(t.Context(), s, c, "/")
+			require.NoError(t, err)
+			assert.Equal(t, "7", got.header.Get(server.HeaderLoad))
+		}},
+		{"drain", "/drain", ``, 204, func(t *testing.T, s *server.Server, c *http.Client) {
+			got, err := get(t.Context(), s, c, "/")
+			require.NoError(t, err)
+			assert.Equal(t, "1", got.header.Get(server.HeaderDraining))
+			assert.Equal(t, 1, s.Stats().StartedAfterDrain)
+		}},
+		{"refuse and return", "/fault", `{"kind":"refuse"}`, 204, func(t *testing.T, s *server.Server, c *http.Client) {
+			_, err := get(t.Context(), s, c, "/healthz")
+			require.Error(t, err)
+			require.NoError(t, s.SetFault(server.Fault{}))
+			_, err = get(t.Context(), s, c, "/")
+			require.NoError(t, err)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, c := start(t, server.Options{})
+			url := "http://" + string(s.Control())
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+test.path, bytes.NewBufferString(test.body))
+			require.NoError(t, err)
+			resp, err := c.Do(r)
+			require.NoError(t, err)
+			_ = resp.Body.Close()
+			assert.Equal(t, test.status, resp.StatusCode)
+			if test.check != nil {
+				test.check(t, s, c)
+			}
+			r, err = http.NewRequestWithContext(t.Context(), http.MethodGet, url+"/stats", http.NoBody)
+			require.NoError(t, err)
+			resp, err = c.Do(r)
+			require.NoError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			var stats server.Stats
+			require.NoError(t, json.NewDecoder(resp.Body).Decode(&stats))
+			assert.Equal(t, fleet.ServerID("s1"), stats.ID)
+		})
+	}
+}
