--- /dev/null
+++ b/standin/cmd/link/main.go
@@ -0,0 +1,96 @@
+// Command link runs stand-ins for links between failure domains.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"galenaridge/core/fleet"
+	"galenaridge/standin/jsontime"
+	"galenaridge/standin/link"
+)
+
+func main() {
+	// The proxy library logs each connection with the standard logger.
+	logrus.SetOutput(io.Discard)
+	logger := logrus.New()
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	command := &cli.Command{
+		Name:  "link",
+		Usage: "stand-in for links between failure domains",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "file", Usage: "JSON list of links; replaces name, listen, target, delay and jitter"},
+			&cli.StringFlag{Name: "control", Value: "127.0.0.1:0", Usage: "address for control requests"},
+			&cli.StringFlag{Name: "name", Value: "link-1", Usage: "name of the link"},
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address to accept connections at"},
+			&cli.StringFlag{Name: "target", Usage: "address to connect to"},
+			&cli.DurationFlag{Name: "delay", Usage: "time one way"},
+			&cli.DurationFlag{Name: "jitter", Usage: "largest deviation from the delay"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return run(ctx, c, logger)
+		},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		logger.WithError(err).Fatal("cannot serve")
+	}
+}
+
+func run(ctx context.Context, c *cli.Command, logger *logrus.Logger) error {
+	all, err := options(c)
+	if err != nil {
+		return err
+	}
+	links, err := link.Start(fleet.Address(c.String("control")), all, clockwork.NewRealClock())
+	if err != nil {
+		return err
+	}
+	defer links.Close()
+	logger.WithFields(logrus.Fields{"control": links.Control(), "links": len(all)}).Info("serving")
+	for _, s := range links.States() {
+		logger.WithFields(logrus.Fields{"name": s.Name, "listen": s.Listen, "target": s.Target}).Info("link open")
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func options(c *cli.Command) ([]link.Options, error) {
+	if c.String("file") != "" {
+		return readFile(c.String("file"))
+	}
+	if c.String("target") == "" {
+		return nil, nil
+	}
+	return []link.Options{{
+		Name:   c.String("name"),
+		Listen: fleet.Address(c.String("listen")),
+		Target: fleet.Address(c.String("target")),
+		Shape: link.Shape{
+			Delay:  jsontime.Duration(c.Duration("delay")),
+			Jitter: jsontime.Duration(c.Duration("jitter")),
+		},
+	}}, nil
+}
+
+func readFile(name string) ([]link.Options, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the list of links")
+	}
+	var all []link.Options
+	if err := json.Unmarshal(text, &all); err != nil {
+		return nil, eris.Wrapf(err, "parse %s", name)
+	}
+	return all, nil
+}
