--- /dev/null
+++ b/io/upstream/attempt.go
@@ -0,0 +1,67 @@
+package upstream
+
+import (
+	"time"
+
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+)
+
+//go:generate ../../.tools/enumer -type=Progress -transform=kebab -text -yaml=false -output=attempt_enumer.go
+
+// Progress says how far an attempt came, as far as the instance can know.
+type Progress uint8
+
+const (
+	// Unwritten means that no byte of the request reached the connection.
+	Unwritten Progress = iota
+	// Written means that a byte may have reached the server, and that no
+	// whole response came back.
+	Written
+	// Complete means that the whole response was read.
+	Complete
+)
+
+// Permission is asked right before the first byte of a request is written.
+// It must be fast and must not block.
+type Permission interface {
+	MayWrite() bool
+}
+
+// Always is a Permission that is always given.
+type Always struct{}
+
+// MayWrite returns true.
+func (Always) MayWrite() bool { return true }
+
+// Attempt is one request to one slot of one server.
+type Attempt struct {
+	Server fleet.ListedServer
+	// Slot selects the connection, from 0 to the slots of the server less 1.
+	// Only one attempt may use a slot at a time.
+	Slot       int
+	Request    exchange.Request
+	Permission Permission
+	// Deadline ends the attempt; the server receives it in Unix milliseconds.
+	Deadline time.Time
+}
+
+// Evidence is what an attempt shows about the server and about whether the
+// request may have run.
+type Evidence struct {
+	Progress Progress
+	// Refused reports that the server refused the connection.
+	Refused bool
+	// Reused reports that the connection had carried an earlier request.
+	Reused bool
+	// Draining reports that the server announced that it takes no more work.
+	Draining bool
+	// Load is the server's own count of requests in progress, if LoadKnown.
+	Load      fleet.Slots
+	LoadKnown bool
+	// Took is the time from the start of the attempt to its end.
+	Took time.Duration
+	// Err is the failure of the attempt, a *Error, or nil if Progress is
+	// Complete.
+	Err error
+}
--- /dev/null
+++ b/io/upstream/errors.go
@@ -0,0 +1,82 @@
+package upstream
+
+import (
+	"errors"
+
+	"galenaridge/core/exchange"
+)
+
+//go:generate ../../.tools/enumer -type=Fault -transform=kebab -text -yaml=false -output=errors_enumer.go
+
+// Fault is the kind of failure of an attempt or a probe.
+type Fault uint8
+
+const (
+	// Unreachable means that no connection could be opened.
+	Unreachable Fault = iota
+	// Denied means that the permission to write was not given.
+	Denied
+	// SlotBusy means that another attempt uses the slot.
+	SlotBusy
+	// TimedOut means that the deadline passed.
+	TimedOut
+	// Canceled means that the context ended.
+	Canceled
+	// Broken means that the connection broke before the whole response came.
+	Broken
+	// Malformed means that the response breaks HTTP or its end is not marked.
+	Malformed
+	// Oversized means that the response body exceeds the limit.
+	Oversized
+	// Unhealthy means that a probe was answered with a status other than 2xx.
+	Unhealthy
+)
+
+// Error is the failure of an attempt or a probe.
+type Error struct {
+	Fault Fault
+	cause error
+}
+
+// Error returns the kind of failure and its cause.
+func (e *Error) Error() string {
+	if e.cause == nil {
+		return "upstream: " + e.Fault.String()
+	}
+	return "upstream: " + e.Fault.String() + ": " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// IsFault reports whether err is a failure of the given kind.
+func IsFault(err error, fault Fault) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Fault == fault
+}
+
+// refusal returns the response that stands for a failed attempt.
+func refusal(fault Fault, progress Progress) exchange.Response {
+	return exchange.Refuse(code(fault, progress), "the server gave no whole answer: "+fault.String())
+}
+
+// code returns the refusal code of a failure. Codes whose outcome is "not
+// run" are used only while nothing was written.
+func code(fault Fault, progress Progress) exchange.Code {
+	if progress != Unwritten {
+		if fault == TimedOut {
+			return exchange.UpstreamTimeout
+		}
+		return exchange.UpstreamLost
+	}
+	switch fault {
+	case TimedOut:
+		return exchange.Expired
+	case Canceled:
+		return exchange.Canceled
+	case Denied:
+		return exchange.NotReady
+	default:
+		return exchange.NoCapacity
+	}
+}
