Add the control goroutine, the traffic path and the peer protocol

Cause: the parts decide alone; nothing ran them together. Conclusion: the path from a caller to a server can be assembled.

--- /dev/null
+++ b/core/control/documents.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"galenaridge/core/config"
+	"galenaridge/core/fleet"
+	"galenaridge/core/member"
+)
+
+// offerConfig adopts a document if it is valid and newer.
+func (n *node) offerConfig(now time.Time, document config.Document) config.Decision {
+	decision := n.config.Offer(document)
+	n.options.Events.Config(decision, document.Version)
+	if decision.Verdict != config.Adopted {
+		return decision
+	}
+	n.configAt = now
+	n.newest = max(n.newest, document.Version)
+	n.configureServices(now)
+	n.setWanted(now)
+	n.announceConfig(now)
+	n.changed = true
+	return decision
+}
+
+// configureServices creates, changes and removes services.
+func (n *node) configureServices(now time.Time) {
+	view := n.config.View()
+	for _, configured := range view.Document().Services {
+		if s, known := n.services[configured.Name]; known {
+			s.configure(now, configured)
+			continue
+		}
+		n.services[configured.Name] = newService(n, now, configured)
+	}
+	for name := range n.services {
+		if _, configured := view.Service(name); !configured {
+			delete(n.services, name)
+		}
+	}
+}
+
+// offerListing adopts a list with a higher revision.
+func (n *node) offerListing(now time.Time, listing fleet.Listing) {
+	if listing.Revision <= n.listing.Revision {
+		return
+	}
+	n.listing = listing
+	n.listingAt = now
+	n.members.SetListing(now, listing)
+	n.setWanted(now)
+	n.announceConfig(now)
+	n.changed = true
+}
+
+// announceConfig puts the documents in force into the gossip.
+func (n *node) announceConfig(now time.Time) {
+	view := n.config.View()
+	n.members.SetConfig(now, member.Config{
+		Version:  view.Version(),
+		Digest:   view.Digest(),
+		Revision: n.listing.Revision,
+	})
+}
+
+// notePeer takes what a peer says about its documents and about the platform.
+func (n *node) notePeer(now time.Time, peer member.Config, age PlatformAge) {
+	if peer.Version >= n.newest {
+		n.newest = peer.Version
+		n.newestAt = now
+	}
+	if readAt := now.Add(-time.Duration(age)); readAt.After(n.platformAt) {
+		n.platformAt = readAt
+	}
+}
+
+// behind reports whether a peer recently announced a newer configuration than
+// the one in force here.
+func (n *node) behind(now time.Time) bool {
+	return n.newest > n.config.View().Version() && now.Sub(n.newestAt) < newsLife
+}
+
+// platformAge returns how long ago any instance last read the platform.
+func (n *node) platformAge(now time.Time) PlatformAge {
+	return PlatformAge(max(now.Sub(n.platformAt), 0))
+}
+
+// fetch asks a peer for newer documents; one fetch runs at a time.
+func (n *node) fetch(now time.Time, event member.Event) {
+	view := n.config.View()
+	if n.fetching || (event.Config.Version <= view.Version() && event.Config.Revision <= n.listing.Revision) {
+		return
+	}
+	n.fetching = true
+	to := member.Peer{Member: event.Member, Address: event.Peer}
+	known := Known{Version: view.Version(), Revision: n.listing.Revision}
+	call := func(ctx context.Context) (Documents, error) { return n.options.Peers.Fetch(ctx, to, known) }
+	send(n, fetchTimeout, call, func(n *node, now time.Time, documents Documents, err error) {
+		n.fetching = false
+		if err != nil {
+			return
+		}
+		if documents.Config != nil {
+			n.offerConfig(now, *documents.Config)
+		}
+		if documents.Listing != nil {
+			n.offerListing(now, *documents.Listing)
+		}
+	})
+}
+
+// chooseWatch switches the watch of the platform on if this instance is among
+// the watchers of its failure domain.
+func (n *node) chooseWatch(now time.Time) {
+	watch := n.watchRank() < n.watcherCount(now)
+	if watch != n.watching {
+		n.watching = watch
+		n.options.Watch.Enable(watch)
+		n.changed = true
+	}
+}
+
+// watcherCount returns how many members of a failure domain should watch: two,
+// and two more for each period in which nobody has read the platform.
+func (n *node) watcherCount(now time.Time) int {
+	silence := now.Sub(n.platformAt)
+	return 2 * (1 + int(silence/platformSilence))
+}
+
+// watchRank returns the rank of this instance among the live members of its
+// failure domain.
+func (n *node) watchRank() int {
+	view := n.members.View()
+	self := view.Self()
+	resource := fleet.Resource("watch/" + string(self.Domain))
+	rank := 0
+	for _, info := range view.Members() {
+		if info.Domain != self.Domain || info.Status.Ended() || info.Suspected || info.Member.ID == self.Member.ID {
+			continue
+		}
+		if fleet.Score(info.Member.ID, resource) > fleet.Score(self.Member.ID, resource) {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/core/control/node.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"galenaridge/core/config"
+	"galenaridge/core/fleet"
+	"galenaridge/core/member"
+	"galenaridge/core/ownership"
+)
+
+// node is the control state; only the control goroutine touches it.
+type node struct {
+	ctx     context.Context
+	loop    *Loop
+	options Options
+
+	members  *member.State
+	owners   *ownership.State
+	config   *config.State
+	services map[fleet.ServiceName]*service
+	// servers maps each listed server of a configured service to its entry.
+	servers map[fleet.ServerID]fleet.ListedServer
+	listing fleet.Listing
+
+	self       fleet.Member
+	generation uint64
+	lease      bool
+	leaving    bool
+	watching   bool
+	fetching   bool
+	// newest is the highest version that any peer reported.
+	newest     fleet.Version
+	newestAt   time.Time
+	configAt   time.Time
+	listingAt  time.Time
+	platformAt time.Time
+	changed    bool
+}
+
+func newNode(l *Loop) *node {
+	now := l.options.Clock.Now()
+	n := &node{
+		loop:     l,
+		options:  l.options,
+		members:  member.New(now, l.options.Member),
+		owners:   ownership.New(ownership.Options{}),
+		config:   config.NewState(),
+		services: map[fleet.ServiceName]*service{},
+		servers:  map[fleet.ServerID]fleet.ListedServer{},
+	}
+	n.self = n.members.View().Self().Member
+	// A new instance gives the watchers before it one period to be heard.
+	n.platformAt = now
+	return n
+}
+
+// tick does everything that is due at now.
+func (n *node) tick(now time.Time) {
+	n.announceConfig(now)
+	n.runMember(now, n.members.Tick(now))
+	n.syncMembers(now)
+	n.checkLease(now)
+	n.runOwnership(now, n.owners.Tick(now, n.lease))
+	for _, s := range n.services {
+		s.tick(n, now)
+	}
+	n.chooseWatch(now)
+}
+
+// checkLease notes the gain and the loss of the lease.
+func (n *node) checkLease(now time.Time) {
+	valid := n.members.View().LeaseValid(now)
+	if n.lease && !valid {
+		n.options.Prober.EndIdle()
+	}
+	n.lease = valid
+	n.changed = true
+}
+
+// syncMembers hands changes of the membership to the ownership.
+func (n *node) syncMembers(now time.Time) {
+	view := n.members.View()
+	if self := view.Self().Member; self != n.self {
+		n.self = self
+		n.options.Events.Rejoined(self)
+		for _, s := range n.services {
+			s.rejoin(self)
+		}
+	}
+	if view.Generation() == n.generation {
+		return
+	}
+	n.generation = view.Generation()
+	n.runOwnership(now, n.owners.SetMembers(now, view))
+	n.refreshOwners()
+}
+
+// refreshOwners recomputes which instances serve each service.
+func (n *node) refreshOwners() {
+	view := n.owners.View()
+	for _, s := range n.services {
+		s.refreshOwners(view)
+	}
+	n.changed = true
+}
+
+// setWanted tells the ownership which resources exist.
+func (n *node) setWanted(now time.Time) {
+	document := n.config.View().Document()
+	wanted := make([]ownership.Wanted, 0, len(n.listing.Servers)+len(document.Services))
+	n.servers = make(map[fleet.ServerID]fleet.ListedServer, len(n.listing.Servers))
+	byService := make(map[fleet.ServiceName][]fleet.ListedServer, len(document.Services))
+	for _, listed := range n.listing.Servers {
+		configured, known := n.config.View().Service(listed.Service)
+		if !known {
+			continue
+		}
+		n.servers[listed.ID] = listed
+		byService[listed.Service] = append(byService[listed.Service], listed)
+		wanted = append(wanted, ownership.Wanted{
+			Resource:        fleet.ServerResource(listed.ID),
+			Domain:          listed.Domain,
+			LargestDeadline: configured.Deadline,
+		})
+	}
+	for _, configured := range document.Services {
+		wanted = append(wanted, ownership.Wanted{Resource: fleet.FloorResource(configured.Name)})
+		n.services[configured.Name].setListed(now, byService[configured.Name])
+	}
+	n.runOwnership(now, n.owners.SetWanted(now, wanted))
+	n.refreshOwners()
+}
+
+func (n *node) publish(now time.Time) *View {
+	services := make(map[fleet.ServiceName]*Service, len(n.services))
+	for name, s := range n.services {
+		services[name] = s.publish()
+	}
+	return &View{
+		Members:    n.members.View(),
+		Owners:     n.owners.View(),
+		Config:     n.config.View(),
+		Listing:    n.listing,
+		Services:   services,
+		ConfigAt:   n.configAt,
+		ListingAt:  n.listingAt,
+		PlatformAt: n.platformAt,
+		Watching:   n.watching,
+		Leaving:    n.leaving,
+		Behind:     n.behind(now),
+	}
+}
--- /dev/null
+++ b/core/control/options.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"galenaridge/core/config"
+	"galenaridge/core/fleet"
+	"galenaridge/core/floor"
+	"galenaridge/core/member"
+	"galenaridge/core/ownership"
+)
+
+// Clock gives the time and wakes the control goroutine.
+type Clock interface {
+	fleet.Clock
+	NewTicker(every time.Duration) (ticks <-chan time.Time, stop func())
+}
+
+// Peers carries messages to other instances. Each method blocks until the
+// reply or the end of the context.
+type Peers interface {
+	Heartbeat(ctx context.Context, out member.HeartbeatOut, age PlatformAge) (member.HeartbeatReply, PlatformAge, error)
+	Sync(ctx context.Context, out member.SyncOut) (member.SyncReply, error)
+	Fence(ctx context.Context, out member.FenceOut) (member.FenceReply, error)
+	Claim(ctx context.Context, out ownership.ClaimOut) (ownership.ClaimReply, error)
+	Report(ctx context.Context, to member.Peer, service fleet.ServiceName, report floor.Report) (floor.Reply, error)
+	Probe(ctx context.Context, to member.Peer, server fleet.ListedServer) (bool, error)
+	Fetch(ctx context.Context, to member.Peer, known Known) (Documents, error)
+}
+
+// Prober reaches servers from this instance.
+type Prober interface {
+	// Reachable reports whether the server accepts a connection.
+	Reachable(ctx context.Context, server fleet.ListedServer) bool
+	// Forget closes the connections to a server that is no longer owned.
+	Forget(server fleet.ServerID)
+	// EndIdle closes the connections that carry no request.
+	EndIdle()
+}
+
+// Watch switches the watch of the platform on or off.
+type Watch interface {
+	Enable(on bool)
+}
+
+// Events receives what the embedding program may want to log or to act on.
+// Its methods are called by the control goroutine and must not block.
+type Events interface {
+	Member(event member.Event)
+	Rejoined(self fleet.Member)
+	Condition(change ConditionChange)
+	Config(decision config.Decision, version fleet.Version)
+	Ownership(acquired, stopped, lost []fleet.Resource)
+}
+
+// PlatformAge is how long ago any instance last read the platform, as far as the
+// sender of a heartbeat or of its reply knows.
+type PlatformAge time.Duration
+
+// Known says what a receiver of documents already has.
+type Known struct {
+	Version  fleet.Version
+	Revision fleet.Revision
+}
+
+// Documents are the configuration and the platform's list as one instance has
+// them; a nil pointer means that the receiver already has it.
+type Documents struct {
+	Config  *config.Document
+	Listing *fleet.Listing
+}
+
+// Options set up a Loop.
+type Options struct {
+	Member member.Options
+	Clock  Clock
+	Peers  Peers
+	Prober Prober
+	Watch  Watch
+	Events Events
+	Random member.Random
+	// Queue is the capacity of the command channel.
+	Queue int
+}
+
+const (
+	// tickEvery is short against the fastest detection (200 ms) and long
+	// against the cost of a tick.
+	tickEvery = 50 * time.Millisecond
+	// callTimeout bounds a call to a peer. It is below the lease time, so that
+	// a lost peer does not hold goroutines for long.
+	callTimeout = time.Second
+	// fetchTimeout is longer, because documents may be large.
+	fetchTimeout = 3 * time.Second
+	// reportEvery is how often owners report to stewards.
+	reportEvery = time.Second
+	// defaultQueue holds the commands of several ticks at 400 instances.
+	defaultQueue = 1024
+	// platformSilence is how long the fleet may hear nothing from the platform
+	// before further members of a failure domain try to read it.
+	platformSilence = 3 * time.Second
+	// newsLife bounds how long an instance waits for a configuration that a
+	// peer announced; if that peer was lost, nobody may have it any more.
+	newsLife = 5 * time.Second
+)
--- /dev/null
+++ b/core/control/service.go
@@ -0,0 +1,252 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"galenaridge/core/admission"
+	"galenaridge/core/config"
+	"galenaridge/core/fleet"
+	"galenaridge/core/floor"
+	"galenaridge/core/health"
+	"galenaridge/core/ownership"
+	"galenaridge/core/retry"
+)
+
+// service is the control state of one service.
+type service struct {
+	config  config.Service
+	pool    *admission.Pool
+	budget  *retry.Budget
+	listed  []fleet.ListedServer
+	owners  []Owner
+	held    map[fleet.ServerID]*Server
+	health  *health.State
+	permits *floor.Holder
+	// steward is nil unless this instance owns the floor of the service.
+	steward    *floor.Steward
+	conditions map[fleet.ServerID]health.Condition
+	// wanted holds the wishes that no report has carried yet.
+	wishing    bool
+	reportedAt time.Time
+	reporting  bool
+	dirty      bool
+	published  *Service
+}
+
+func newService(n *node, now time.Time, configured config.Service) *service {
+	return &service{
+		config:     configured,
+		pool:       admission.New(n.options.Clock, admission.Options{}),
+		budget:     retry.NewBudget(retry.Options{}),
+		held:       map[fleet.ServerID]*Server{},
+		health:     health.New(now, healthOptions(configured)),
+		permits:    floor.NewHolder(n.self),
+		conditions: map[fleet.ServerID]health.Condition{},
+		dirty:      true,
+	}
+}
+
+func healthOptions(configured config.Service) health.Options {
+	return health.Options{
+		Service:  configured.Name,
+		Detect:   configured.Detect,
+		Deadline: configured.Deadline,
+	}
+}
+
+// configure takes a changed configuration of the service.
+func (s *service) configure(now time.Time, configured config.Service) {
+	if s.config.Detect != configured.Detect || s.config.Deadline != configured.Deadline {
+		s.health = health.New(now, healthOptions(configured))
+	}
+	s.config = configured
+	if s.steward != nil {
+		s.steward.SetFloor(configured.Floor)
+	}
+	s.updatePool()
+}
+
+// rejoin starts the permits anew, because they belong to an incarnation.
+func (s *service) rejoin(self fleet.Member) { s.permits = floor.NewHolder(self) }
+
+// setListed takes the servers that the platform lists for the service.
+func (s *service) setListed(now time.Time, listed []fleet.ListedServer) {
+	s.listed = listed
+	for _, entry := range listed {
+		owned, held := s.held[entry.ID]
+		if !held {
+			continue
+		}
+		if entry.Presence == fleet.Live && owned.Listed.Presence == fleet.Leaving {
+			s.health.Restore(now, entry.ID)
+		}
+		if entry.Presence == fleet.Leaving {
+			s.health.Drain(now, entry.ID)
+		}
+		s.held[entry.ID] = &Server{Listed: entry, Counters: owned.Counters}
+	}
+	s.updatePool()
+}
+
+// acquire starts to use a server.
+func (s *service) acquire(now time.Time, listed fleet.ListedServer) {
+	s.pool.Resume(listed.ID)
+	s.held[listed.ID] = &Server{Listed: listed, Counters: health.NewCounters(now)}
+	if listed.Presence == fleet.Leaving {
+		s.health.Drain(now, listed.ID)
+	}
+	s.updatePool()
+}
+
+// drop ends the use of a server.
+func (s *service) drop(server fleet.ServerID) {
+	delete(s.held, server)
+	delete(s.conditions, server)
+	s.updatePool()
+}
+
+// tick runs the detection and the exchange with the steward.
+func (s *service) tick(n *node, now time.Time) {
+	s.pool.Expire(now)
+	if s.steward != nil {
+		s.steward.Extend(n.members.View().LeaseUntil())
+		s.steward.Tick(now)
+		s.dirty = true
+	}
+	if len(s.held) == 0 {
+		return
+	}
+	readings := make([]health.Reading, 0, len(s.held))
+	for id, owned := range s.held {
+		readings = append(readings, health.Reading{Server: id, Snapshot: owned.Counters.Snapshot(now)})
+	}
+	slices.SortFunc(readings, func(a, b health.Reading) int { return cmp.Compare(a.Server, b.Server) })
+	n.runHealth(now, s, s.health.Observe(now, readings, s.taking()))
+	n.applyPermits(now, s, s.permits.Tick(now))
+	if n.lease && !s.reporting && (s.wishing || now.Sub(s.reportedAt) >= reportEvery) {
+		n.report(now, s)
+	}
+	s.noteConditions(n)
+}
+
+// taking counts the servers of the service that take work, as far as known
+// here.
+func (s *service) taking() fleet.Servers {
+	count := 0
+	for _, entry := range s.listed {
+		if entry.Presence == fleet.Live {
+			count++
+		}
+	}
+	for _, condition := range s.conditions {
+		if condition == health.Ejected || condition == health.Dead {
+			count--
+		}
+	}
+	return fleet.Servers(max(count, 0))
+}
+
+// noteConditions reports changed conditions and updates the pool.
+func (s *service) noteConditions(n *node) {
+	changed := false
+	for _, status := range s.health.Publish().All() {
+		before := s.conditions[status.Server]
+		if before == status.Condition {
+			continue
+		}
+		changed = true
+		s.conditions[status.Server] = status.Condition
+		n.options.Events.Condition(ConditionChange{Service: s.config.Name, Before: before, After: status})
+	}
+	if changed {
+		s.updatePool()
+	}
+	s.dirty = true
+}
+
+// updatePool tells the pool which servers may be used, and how.
+func (s *service) updatePool() {
+	servers := make([]admission.ServerSlots, 0, len(s.held))
+	for _, id := range slices.Sorted(maps.Keys(s.held)) {
+		servers = append(servers, admission.ServerSlots{
+			Server: id,
+			Slots:  s.config.Slots,
+			Use:    useOf(s.held[id].Listed, s.conditions[id]),
+		})
+	}
+	s.pool.SetServers(servers)
+	s.dirty = true
+}
+
+// useOf says how a server in a condition may be used.
+func useOf(listed fleet.ListedServer, condition health.Condition) admission.Use {
+	if listed.Presence == fleet.Leaving {
+		return admission.None
+	}
+	switch condition {
+	case health.Healthy:
+		return admission.Normal
+	case health.Suspect:
+		return admission.LastResort
+	case health.Trial:
+		return admission.Trial
+	default:
+		return admission.None
+	}
+}
+
+// refreshOwners recomputes which instances are expected to own servers of the
+// service.
+func (s *service) refreshOwners(view ownership.View) {
+	byID := make(map[fleet.InstanceID]*Owner)
+	for _, entry := range s.listed {
+		if entry.Presence == fleet.Leaving {
+			continue
+		}
+		record, known := view.Owner(fleet.ServerResource(entry.ID))
+		if !known {
+			continue
+		}
+		if owner, seen := byID[record.Member.ID]; seen {
+			owner.Servers++
+			continue
+		}
+		byID[record.Member.ID] = &Owner{
+			Member:  record.Member,
+			Domain:  record.Domain,
+			Peer:    record.Peer,
+			Caller:  record.Caller,
+			Servers: 1,
+		}
+	}
+	s.owners = make([]Owner, 0, len(byID))
+	for _, id := range slices.Sorted(maps.Keys(byID)) {
+		s.owners = append(s.owners, *byID[id])
+	}
+	s.dirty = true
+}
+
+// publish returns an immutable copy, the same one while nothing changed.
+func (s *service) publish() *Service {
+	if !s.dirty && s.published != nil {
+		return s.published
+	}
+	s.dirty = false
+	s.published = &Service{
+		Config:  s.config,
+		Pool:    s.pool,
+		Budget:  s.budget,
+		Servers: maps.Clone(s.held),
+		Owners:  s.owners,
+		Health:  s.health.Publish(),
+		Permits: s.permits.Publish(),
+	}
+	if s.steward != nil {
+		view := s.steward.Publish()
+		s.published.Steward = &view
+	}
+	return s.published
+}
--- /dev/null
+++ b/core/traffic/engine.go
@@ -0,0 +1,99 @@
+package traffic
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"galenaridge/core/fleet"
+	"galenaridge/core/once"
+)
+
+// Engine carries requests. It is safe for concurrent use.
+type Engine struct {
+	options Options
+	ledger  atomic.Pointer[once.Ledger]
+	// archives holds the records of ended incarnations by their member.
+	archives sync.Map
+	loads    loadTable
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns an engine that issues tokens for the given incarnation. It fails
+// if the source of secrets does.
+func New(options Options, self fleet.Member) (*Engine, error) {
+	e := &Engine{options: options}
+	if err := e.Rejoin(self); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// Rejoin ends the records of the incarnation before and starts those of a new
+// one. The ended records still answer for their keys.
+func (e *Engine) Rejoin(self fleet.Member) error {
+	now := e.options.Clock.Now()
+	ledger, err := once.NewLedger(once.Options{
+		Home:    self,
+		Start:   now,
+		Random:  e.options.Secrets,
+		Life:    e.tokenLife(),
+		Records: e.options.Records.Count,
+		Body:    e.options.Records.Body,
+		Memory:  e.options.Records.Memory,
+	})
+	if err != nil {
+		return err
+	}
+	before := e.ledger.Swap(ledger)
+	if before != nil {
+		before.End(now)
+		e.archives.Store(before.Home(), before.Archive())
+	}
+	return nil
+}
+
+// Stop ends the starting of protected requests for good and returns the
+// records for a successor.
+func (e *Engine) Stop() *once.Ledger {
+	ledger := e.ledger.Load()
+	ledger.End(e.options.Clock.Now())
+	return ledger
+}
+
+// SetStopping marks the planned stop, in which callers are told to move.
+func (e *Engine) SetStopping() { e.stopping.Store(true) }
+
+// Import takes records that another instance hands over.
+func (e *Engine) Import(handover once.Handover) {
+	found, _ := e.archives.LoadOrStore(handover.Home, once.NewArchive(handover.Home))
+	found.(*once.Archive).Import(e.options.Clock.Now(), handover)
+}
+
+// Sweep drops expired records in bounded steps.
+func (e *Engine) Sweep(limit int) {
+	now := e.options.Clock.Now()
+	e.ledger.Load().Sweep(now, limit)
+	e.archives.Range(func(home, archive any) bool {
+		a := archive.(*once.Archive)
+		a.Sweep(now, limit)
+		if a.Expired(now) {
+			e.archives.Delete(home)
+		}
+		return true
+	})
+}
+
+// Mint issues a token whose home is this incarnation.
+func (e *Engine) Mint(service fleet.ServiceName) (once.Token, error) {
+	return e.ledger.Load().Mint(e.options.Clock.Now(), service)
+}
+
+func (e *Engine) tokenLife() time.Duration {
+	life := e.options.Control.View().Config.Document().Limits.Token
+	if life <= 0 {
+		return defaultTokenLife
+	}
+	return life
+}
--- /dev/null
+++ b/core/traffic/local.go
@@ -0,0 +1,147 @@
+package traffic
+
+import (
+	"context"
+	"time"
+
+	"galenaridge/core/admission"
+	"galenaridge/core/control"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/health"
+	"galenaridge/core/retry"
+)
+
+// runLocal carries out a request on the servers that this instance owns.
+func (e *Engine) runLocal(ctx context.Context, request exchange.Request) trial {
+	var exclude []fleet.ServerID
+	result := trial{response: exchange.Refuse(exchange.NoCapacity, "this instance owns no server of the service")}
+	for made := 1; ; made++ {
+		view := e.options.Control.View()
+		service := view.Services[request.Service]
+		if service == nil {
+			return trial{response: exchange.Refuse(exchange.NoService, "service is not configured")}
+		}
+		if len(service.Servers) == 0 || !view.Lease(e.options.Clock.Now()) {
+			return result
+		}
+		grant, err := service.Pool.Acquire(ctx, e.ask(view, request, exclude))
+		if err != nil {
+			if !result.reached {
+				result.response = refuseAdmission(err)
+			}
+			return result
+		}
+		result = e.attempt(ctx, service, grant, request, result)
+		if !e.againHere(service, request, result, made) {
+			return result
+		}
+		exclude = append(exclude, grant.Server)
+	}
+}
+
+func (e *Engine) ask(view *control.View, request exchange.Request, exclude []fleet.ServerID) admission.Ask {
+	tenant := view.Config.Tenant(request.Tenant)
+	return admission.Ask{
+		Tenant:     tenant.Name,
+		Weight:     tenant.Weight,
+		Protected:  request.Protected,
+		Idempotent: !request.Protected,
+		Deadline:   request.Deadline,
+		Exclude:    exclude,
+	}
+}
+
+// againHere decides whether another server of this instance should be tried.
+func (e *Engine) againHere(service *control.Service, request exchange.Request, t trial, made int) bool {
+	if len(service.Servers) <= made {
+		return false
+	}
+	decision := retry.Decide(retry.Attempt{
+		Answered:   answered(request, t.response),
+		Idempotent: !request.Protected,
+		Written:    t.written,
+		Made:       made,
+		Left:       request.Deadline.Sub(e.options.Clock.Now()),
+		Expected:   service.Health.Median(),
+	})
+	return decision == retry.Again && service.Budget.Spend()
+}
+
+// attempt sends the request to the server of the grant and gives the slot back.
+func (e *Engine) attempt(ctx context.Context, service *control.Service, grant *admission.Grant, request exchange.Request, before trial) trial {
+	defer grant.Release()
+	server, owned := service.Servers[grant.Server]
+	if !owned {
+		// The pool was changed after the view was read.
+		if server = e.options.Control.View().Services[request.Service].Servers[grant.Server]; server == nil {
+			return trial{response: exchange.Refuse(exchange.NoCapacity, "the server has another owner now"), written: before.written}
+		}
+	}
+	server.Counters.Start(grant.Slot, e.options.Clock.Now())
+	response, evidence := e.options.Sender.Send(ctx, Attempt{
+		Server:   server.Listed,
+		Slot:     grant.Slot,
+		Request:  request,
+		MayWrite: func() bool { return e.mayWrite(server.Listed.ID) },
+		Deadline: e.serverDeadline(request, service.Config.Deadline),
+	})
+	server.Counters.Finish(grant.Slot, e.options.Clock.Now(), resultOf(response, evidence))
+	if evidence.Draining && server.Listed.Presence != fleet.Leaving {
+		e.options.Drains.ServerDraining(request.Service, server.Listed.ID)
+	}
+	return trial{
+		response: response,
+		reached:  evidence.Written || evidence.Refused,
+		written:  before.written || evidence.Written,
+	}
+}
+
+// mayWrite is the right to send, checked on the monotonic clock right before
+// the first byte.
+func (e *Engine) mayWrite(server fleet.ServerID) bool {
+	return e.options.Control.View().Holds(server, e.options.Clock.Now())
+}
+
+// serverDeadline ends the work before another owner may start to use the
+// server.
+func (e *Engine) serverDeadline(request exchange.Request, largest time.Duration) time.Time {
+	limit := e.options.Control.View().Members.LeaseUntil().Add(largest)
+	if request.Deadline.Before(limit) {
+		return request.Deadline
+	}
+	return limit
+}
+
+// resultOf is what an attempt says about the server.
+func resultOf(response exchange.Response, evidence Evidence) health.Result {
+	switch {
+	case evidence.Complete && response.Status < 500:
+		return health.Succeeded
+	case evidence.Refused:
+		return health.Refused
+	case evidence.TimedOut:
+		return health.TimedOut
+	case evidence.Canceled, !evidence.Written:
+		return health.Canceled
+	default:
+		return health.Failed
+	}
+}
+
+// refuseAdmission turns an error of the pool into a refusal.
+func refuseAdmission(err error) exchange.Response {
+	if after, overloaded := admission.Overloaded(err); overloaded {
+		response := exchange.Refuse(exchange.Overloaded, "no slot can come free before the deadline")
+		response.After = after
+		return response
+	}
+	switch {
+	case admission.IsExpired(err):
+		return exchange.Refuse(exchange.Expired, "the deadline passed before a slot came free")
+	case admission.IsCanceled(err):
+		return exchange.Refuse(exchange.Canceled, "the caller went away before a slot came free")
+	default:
+		return exchange.Refuse(exchange.NoCapacity, "no server of this instance takes work")
+	}
+}
--- /dev/null
+++ b/core/traffic/options.go
@@ -0,0 +1,105 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"galenaridge/core/control"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/member"
+	"galenaridge/core/once"
+)
+
+// Control gives the published control state.
+type Control interface {
+	View() *control.View
+}
+
+// Drains takes the announcements of servers that they leave. It must not block.
+type Drains interface {
+	ServerDraining(service fleet.ServiceName, server fleet.ServerID)
+}
+
+// Sender makes one attempt on one slot of one server and never repeats it.
+type Sender interface {
+	Send(ctx context.Context, attempt Attempt) (exchange.Response, Evidence)
+}
+
+// Attempt is one request to one slot of one server.
+type Attempt struct {
+	Server  fleet.ListedServer
+	Slot    int
+	Request exchange.Request
+	// MayWrite is asked right before the first byte is written.
+	MayWrite func() bool
+	// Deadline is when the server must have ended the work.
+	Deadline time.Time
+}
+
+// Evidence is what an attempt showed.
+type Evidence struct {
+	// Written reports that a byte of the request may have reached the server.
+	Written bool
+	// Complete reports that the whole response was read.
+	Complete bool
+	// Refused reports that the server refused the connection.
+	Refused  bool
+	TimedOut bool
+	Canceled bool
+	// Draining reports that the server announced that it leaves.
+	Draining bool
+}
+
+// Peers carries requests to other instances. Delivered is false if the peer
+// provably did not get the request.
+type Peers interface {
+	Execute(ctx context.Context, to member.Peer, request exchange.Request) (response exchange.Response, delivered bool)
+	Submit(ctx context.Context, to member.Peer, token once.Token, request exchange.Request) (response exchange.Response, delivered bool)
+	Mint(ctx context.Context, to member.Peer, service fleet.ServiceName) (once.Token, error)
+}
+
+// Random gives random numbers and may be used concurrently.
+type Random interface {
+	IntN(n int) int
+	Uint64() uint64
+}
+
+// Records bounds the at-most-once records.
+type Records struct {
+	// Count is the largest number of records held.
+	Count int
+	// Body is the largest stored response body in bytes.
+	Body int
+	// Memory is the largest sum of stored bodies in bytes.
+	Memory int64
+}
+
+// Options set up an Engine.
+type Options struct {
+	Control Control
+	Drains  Drains
+	Sender  Sender
+	Peers   Peers
+	Clock   fleet.Clock
+	Random  Random
+	// Secrets gives the secrets and nonces of tokens.
+	Secrets io.Reader
+	Records Records
+}
+
+const (
+	// maxTargets bounds how many owners and servers one request may try.
+	maxTargets = 4
+	// avoidFor is how long an instance that could not be reached is not chosen.
+	avoidFor = time.Second
+	// loadLife is how long a load that a peer reported is believed.
+	loadLife = 2 * time.Second
+	// mintTimeout keeps an assignment fast when the preferred owner is slow.
+	mintTimeout = 250 * time.Millisecond
+	// defaultTokenLife is used until a configuration is in force.
+	defaultTokenLife = 10 * time.Minute
+	// maxAddresses is the number of addresses in an assignment.
+	maxAddresses = 3
+)
--- /dev/null
+++ b/core/traffic/run.go
@@ -0,0 +1,191 @@
+package traffic
+
+import (
+	"context"
+	"time"
+
+	"galenaridge/core/control"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/member"
+	"galenaridge/core/retry"
+)
+
+// trial is what one owner made of a request.
+type trial struct {
+	response exchange.Response
+	// reached reports that an attempt was made on a server.
+	reached bool
+	// written reports that a server may have got the request.
+	written bool
+}
+
+// run tries owners of the service until one answers, as far as retries are
+// allowed. The context ends at the deadline of the request.
+func (e *Engine) run(ctx context.Context, request exchange.Request) exchange.Response {
+	var tried []fleet.InstanceID
+	last := exchange.Refuse(exchange.NoCapacity, "no owner of the service can be reached")
+	made := 0
+	for range maxTargets {
+		view := e.options.Control.View()
+		service := view.Services[request.Service]
+		if service == nil {
+			return exchange.Refuse(exchange.NoService, "service is not configured")
+		}
+		if made == 0 {
+			service.Budget.Earn()
+		}
+		target, found := e.choose(view, service, tried)
+		if !found {
+			return last
+		}
+		tried = append(tried, target.Member.ID)
+		t := e.try(ctx, view, target, request)
+		last = t.response
+		if t.reached {
+			made++
+		}
+		if !e.again(service, request, t, made) {
+			return last
+		}
+	}
+	return last
+}
+
+// again decides whether another owner should be tried.
+func (e *Engine) again(service *control.Service, request exchange.Request, t trial, made int) bool {
+	left := request.Deadline.Sub(e.options.Clock.Now())
+	if !t.reached {
+		return !t.written && left > 0
+	}
+	decision := retry.Decide(retry.Attempt{
+		Answered:   answered(request, t.response),
+		Idempotent: !request.Protected,
+		Written:    t.written,
+		Made:       made,
+		Left:       left,
+		Expected:   service.Health.Median(),
+	})
+	return decision == retry.Again && service.Budget.Spend()
+}
+
+// answered reports whether the response is one to pass on.
+func answered(request exchange.Request, response exchange.Response) bool {
+	if response.Refused() {
+		return false
+	}
+	return request.Protected || response.Status < 500
+}
+
+// choose picks the instance to carry out the request: this one if it has a free
+// slot, else the least loaded of this one and two random owners.
+func (e *Engine) choose(view *control.View, service *control.Service, tried []fleet.InstanceID) (control.Owner, bool) {
+	now := e.options.Clock.Now()
+	self := view.Members.Self()
+	var best control.Owner
+	bestCost := 0.0
+	found := false
+	consider := func(owner control.Owner, cost float64) {
+		if contains(tried, owner.Member.ID) {
+			return
+		}
+		if !found || cost < bestCost {
+			best, bestCost, found = owner, cost, true
+		}
+	}
+	if len(service.Servers) > 0 && view.Lease(now) {
+		load := service.Pool.Load()
+		consider(control.Owner{Member: self.Member, Domain: self.Domain}, costOf(load))
+		if found && load.Busy < load.Slots {
+			return best, true
+		}
+	}
+	if len(service.Owners) > 0 {
+		first := e.options.Random.IntN(len(service.Owners))
+		second := e.options.Random.IntN(len(service.Owners))
+		for _, i := range []int{first, second} {
+			owner := service.Owners[i]
+			if owner.Member.ID == self.Member.ID {
+				continue
+			}
+			consider(owner, e.loads.cost(service.Config.Name, owner.Member.ID, now)+hopCost(owner, self))
+		}
+	}
+	if found && bestCost < avoidCost/2 {
+		return best, true
+	}
+	return e.anyOwner(service, self, tried, now)
+}
+
+// hopCost prefers owners in the same failure domain while their load is alike.
+func hopCost(owner control.Owner, self member.Record) float64 {
+	if owner.Domain == self.Domain {
+		return 0
+	}
+	return otherDomainCost
+}
+
+// otherDomainCost stands for the extra delay and the cost of links between
+// failure domains.
+const otherDomainCost = 0.25
+
+// anyOwner returns the first owner, from a random start, that can be tried.
+func (e *Engine) anyOwner(service *control.Service, self member.Record, tried []fleet.InstanceID, now time.Time) (control.Owner, bool) {
+	count := len(service.Owners)
+	if count == 0 {
+		return control.Owner{}, false
+	}
+	start := e.options.Random.IntN(count)
+	for i := range count {
+		owner := service.Owners[(start+i)%count]
+		if owner.Member.ID == self.Member.ID || contains(tried, owner.Member.ID) {
+			continue
+		}
+		if e.loads.cost(service.Config.Name, owner.Member.ID, now) < avoidCost {
+			return owner, true
+		}
+	}
+	return control.Owner{}, false
+}
+
+func contains(tried []fleet.InstanceID, id fleet.InstanceID) bool {
+	for _, t := range tried {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
+
+// try lets one owner carry out the request.
+func (e *Engine) try(ctx context.Context, view *control.View, target control.Owner, request exchange.Request) trial {
+	if target.Member == view.Members.Self().Member {
+		return e.runLocal(ctx, request)
+	}
+	now := e.options.Clock.Now()
+	request.Hops++
+	to := member.Peer{Member: target.Member, Address: target.Peer}
+	response, delivered := e.options.Peers.Execute(ctx, to, request)
+	if !delivered {
+		e.loads.avoid(request.Service, target.Member.ID, now.Add(avoidFor))
+		return trial{response: exchange.Refuse(exchange.NoCapacity, "the owner cannot be reached")}
+	}
+	e.loads.report(request.Service, target.Member.ID, response.Load, e.options.Clock.Now())
+	return trial{
+		response: response,
+		reached:  response.Outcome != fleet.NotRun,
+		written:  response.Outcome != fleet.NotRun,
+	}
+}
+
+// Execute carries out a request of another instance on the servers that this
+// instance owns.
+func (e *Engine) Execute(ctx context.Context, request exchange.Request) exchange.Response {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	response := e.runLocal(ctx, request).response
+	if service := e.options.Control.View().Services[request.Service]; service != nil {
+		response.Load = service.Pool.Load()
+	}
+	return response
+}
