--- a/core/member/commands.go
+++ b/core/member/commands.go
@@ -6,72 +6,206 @@
 	"galenaridge/core/fleet"
 )
 
-// State is the membership state of one instance.
-type State struct{}
-
-// New returns the state of an instance that starts at now, with a random
-// incarnation.
-func New(now time.Time, options Options) *State { return &State{} }
-
 // Tick does what is due: heartbeats, fence rounds, panel changes, contacts.
-func (s *State) Tick(now time.Time) Effects { return Effects{} }
+func (s *State) Tick(now time.Time) Effects {
+	var effects Effects
+	now = s.observe(now)
+	s.clean(now)
+	if s.self.Status == Left {
+		return effects
+	}
+	s.renewLease(now, &effects)
+	s.leaveLostPanel(now, &effects)
+	s.bootstrap(now)
+	s.contact(now, &effects)
+	s.maintainPanel(now, &effects)
+	s.suspect(now, &effects)
+	s.startRounds(now, &effects)
+	s.applyLastResort(now, &effects)
+	s.sendHeartbeats(now, &effects)
+	return effects
+}
 
 // SetListing takes a newly read listing of the platform; older revisions are
 // ignored.
-func (s *State) SetListing(now time.Time, listing fleet.Listing) {}
+func (s *State) SetListing(now time.Time, listing fleet.Listing) {
+	s.contacts.setListing(s.observe(now), listing)
+}
 
 // SetConfig sets what this instance announces as in force.
-func (s *State) SetConfig(now time.Time, config Config) {}
+func (s *State) SetConfig(now time.Time, config Config) {
+	s.observe(now)
+	if s.config != config {
+		s.config = config
+		s.urgent = true
+	}
+}
 
 // Learn merges records that arrived outside of this package's messages.
-func (s *State) Learn(now time.Time, records []Record) Effects { return Effects{} }
+func (s *State) Learn(now time.Time, records []Record) Effects {
+	var effects Effects
+	s.mergeAll(s.observe(now), records, &effects)
+	return effects
+}
 
 // Leave announces that this instance is about to stop.
-func (s *State) Leave(now time.Time) Effects { return Effects{} }
+func (s *State) Leave(now time.Time) Effects {
+	return s.advance(now, Leaving, fleet.Member{})
+}
 
 // Finish announces that this instance has stopped work and who answers for its
 // records; it gives up the lease. Successor may be zero.
-func (s *State) Finish(now time.Time, successor fleet.Member) Effects { return Effects{} }
+func (s *State) Finish(now time.Time, successor fleet.Member) Effects {
+	effects := s.advance(now, Left, successor)
+	s.lease = time.Time{}
+	return effects
+}
 
-// HandleHeartbeat answers a heartbeat.
+// advance moves this instance's own record forward and announces it at once.
+func (s *State) advance(now time.Time, status Status, successor fleet.Member) Effects {
+	var effects Effects
+	now = s.observe(now)
+	if s.self.Status >= status {
+		return effects
+	}
+	record := s.self.Record
+	record.Status, record.Successor = status, successor
+	s.replace(now, s.self, record, &effects)
+	s.urgent = true
+	s.sendHeartbeats(now, &effects)
+	return effects
+}
+
+// HandleHeartbeat answers a heartbeat. An instance without a lease acknowledges
+// as well; otherwise a fleet whose leases all lapsed could not recover.
 func (s *State) HandleHeartbeat(now time.Time, message Heartbeat) (HeartbeatReply, Effects) {
-	return HeartbeatReply{}, Effects{}
+	var effects Effects
+	now = s.observe(now)
+	s.takeNews(now, message.From, message.News, &effects)
+	reply := HeartbeatReply{From: s.self.Member}
+	e, known := s.entries[message.From]
+	if known {
+		reply.Fenced = e.witnessing.voted || e.Status == Fenced
+		reply.Acknowledged = !reply.Fenced && e.Status != Left && s.self.Status != Left
+	}
+	if reply.Acknowledged {
+		e.witnessing.lastAck = now
+		e.witnessing.seenPanel = max(e.witnessing.seenPanel, message.Panel)
+	}
+	reply.News = s.news(now, e)
+	return reply, effects
 }
 
 // HandleHeartbeatReply takes the reply to a heartbeat of this instance.
 func (s *State) HandleHeartbeatReply(now time.Time, sent HeartbeatOut, reply HeartbeatReply) Effects {
-	return Effects{}
+	var effects Effects
+	now = s.observe(now)
+	s.takeNews(now, reply.From, reply.News, &effects)
+	e, known := s.entries[reply.From]
+	if !known || reply.From != sent.To.Member || sent.Message.From != s.self.Member {
+		return effects
+	}
+	if reply.Fenced {
+		e.answering.refused = true
+	}
+	if reply.Acknowledged {
+		s.acknowledge(e, sent)
+		s.commitPanel()
+		s.renewLease(now, &effects)
+	}
+	return effects
 }
 
-// HeartbeatFailed says that a heartbeat got no reply.
-func (s *State) HeartbeatFailed(now time.Time, sent HeartbeatOut) Effects { return Effects{} }
+// acknowledge notes what a witness has acknowledged.
+func (s *State) acknowledge(e *entry, sent HeartbeatOut) {
+	a := &e.answering
+	if sent.SentAt.After(a.sentAt) {
+		a.sentAt = sent.SentAt
+	}
+	a.panel = max(a.panel, sent.Message.Panel)
+	a.silentSince = time.Time{}
+	a.avoidUntil = time.Time{}
+	for _, r := range sent.Message.News.Records {
+		if r.Member == s.self.Member && r.Status == s.self.Status && r.Panel == s.self.Panel {
+			a.knowsSelf = true
+		}
+	}
+}
+
+// HeartbeatFailed says that a heartbeat got no reply. It changes nothing but
+// the time, since silence is counted from the sending.
+func (s *State) HeartbeatFailed(now time.Time, _ HeartbeatOut) Effects {
+	s.observe(now)
+	return Effects{}
+}
 
 // HandleSync answers a Sync with all records.
 func (s *State) HandleSync(now time.Time, message SyncRequest) (SyncReply, Effects) {
-	return SyncReply{}, Effects{}
+	var effects Effects
+	now = s.observe(now)
+	s.mergeAll(now, message.Records, &effects)
+	s.noteBootstrap(message.Records)
+	return SyncReply{Records: s.records(now)}, effects
 }
 
 // HandleSyncReply takes the reply to a Sync of this instance.
-func (s *State) HandleSyncReply(now time.Time, sent SyncOut, reply SyncReply) Effects {
-	return Effects{}
+func (s *State) HandleSyncReply(now time.Time, _ SyncOut, reply SyncReply) Effects {
+	var effects Effects
+	now = s.observe(now)
+	s.mergeAll(now, reply.Records, &effects)
+	s.noteBootstrap(reply.Records)
+	return effects
 }
 
-// SyncFailed says that a Sync got no reply.
-func (s *State) SyncFailed(now time.Time, sent SyncOut) {}
+// noteBootstrap ends the search for members once an active one has sent all of
+// its records, its own first.
+func (s *State) noteBootstrap(records []Record) {
+	if len(records) == 0 || s.self.Status == Left {
+		return
+	}
+	sender, known := s.entries[records[0].Member]
+	if known && sender != s.self && (sender.Status == Active || sender.Status == Leaving) {
+		s.contacts.bootstrapped = true
+	}
+}
+
+// SyncFailed says that a Sync got no reply; the contact is asked again later.
+func (s *State) SyncFailed(now time.Time, _ SyncOut) { s.observe(now) }
 
 // HandleFence answers a request to vote.
 func (s *State) HandleFence(now time.Time, message FenceRequest) (FenceReply, Effects) {
-	return FenceReply{}, Effects{}
+	now = s.observe(now)
+	reply := FenceReply{From: s.self.Member}
+	if e, known := s.entries[message.Target]; known {
+		reply.Granted = s.vote(now, e, message.Panel)
+		reply.Record = e.Record
+	}
+	return reply, Effects{}
 }
 
 // HandleFenceReply takes the answer to a fence request of this instance.
 func (s *State) HandleFenceReply(now time.Time, sent FenceOut, reply FenceReply) Effects {
-	return Effects{}
+	var effects Effects
+	now = s.observe(now)
+	s.merge(now, reply.Record, true, &effects)
+	e, known := s.entries[sent.Message.Target]
+	if !known {
+		return effects
+	}
+	w := &e.witnessing
+	w.unreachable = remove(w.unreachable, reply.From)
+	if reply.Granted && reply.From == sent.To.Member {
+		w.granted = add(w.granted, reply.From)
+		s.certify(now, e, &effects)
+	}
+	return effects
 }
 
 // FenceFailed says that a fence request got no reply.
-func (s *State) FenceFailed(now time.Time, sent FenceOut) Effects { return Effects{} }
-
-// View returns the current state as an immutable value. It is cheap when no
-// record changed since the last call.
-func (s *State) View() View { return View{} }
+func (s *State) FenceFailed(now time.Time, sent FenceOut) Effects {
+	s.observe(now)
+	if e, known := s.entries[sent.Message.Target]; known {
+		e.witnessing.unreachable = add(e.witnessing.unreachable, sent.To.Member)
+	}
+	return Effects{}
+}
--- /dev/null
+++ b/core/member/contact.go
@@ -0,0 +1,176 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"galenaridge/core/fleet"
+)
+
+// contacts are the addresses that this instance may ask for members.
+type contacts struct {
+	listing fleet.Listing
+	// listed means that a listing has been read.
+	listed bool
+	// dropped says since when the listing lacks an instance that it named.
+	dropped map[fleet.InstanceID]time.Time
+	// bootstrapped means that the known records are complete enough to choose
+	// a panel.
+	bootstrapped bool
+	beganAt      time.Time
+	due          time.Time
+	// askedAt is when an address was last asked.
+	askedAt map[fleet.Address]time.Time
+}
+
+func (c *contacts) begin(now time.Time) {
+	c.bootstrapped = false
+	c.beganAt = now
+	c.due = now
+	c.askedAt = make(map[fleet.Address]time.Time)
+}
+
+// setListing keeps the newest listing and notes whom it dropped.
+func (c *contacts) setListing(now time.Time, listing fleet.Listing) {
+	if c.listed && listing.Revision <= c.listing.Revision {
+		return
+	}
+	if c.dropped == nil {
+		c.dropped = make(map[fleet.InstanceID]time.Time)
+	}
+	for _, instance := range c.listing.Instances {
+		if _, ok := c.dropped[instance.ID]; !ok {
+			c.dropped[instance.ID] = now
+		}
+	}
+	for _, instance := range listing.Instances {
+		delete(c.dropped, instance.ID)
+	}
+	for id, since := range c.dropped {
+		if now.Sub(since) > keepDropped {
+			delete(c.dropped, id)
+		}
+	}
+	c.listing, c.listed = listing, true
+}
+
+// known tells which ids and addresses have a member that has not ended.
+type known struct {
+	ids       map[fleet.InstanceID]bool
+	addresses map[fleet.Address]bool
+}
+
+func (s *State) known() known {
+	k := known{ids: make(map[fleet.InstanceID]bool), addresses: make(map[fleet.Address]bool)}
+	for _, e := range s.sorted {
+		if !e.Status.Ended() {
+			k.ids[e.Member.ID] = true
+			k.addresses[e.Peer] = true
+		}
+	}
+	return k
+}
+
+// bootstrap decides whether an instance that found no active member may choose
+// a panel from the members known. All listed instances must be known, or after
+// some patience a majority of them, so that two halves of a fleet that starts
+// while the network is cut do not both begin.
+func (s *State) bootstrap(now time.Time) {
+	if s.contacts.bootstrapped || s.self.Status == Left {
+		return
+	}
+	patient := now.Sub(s.contacts.beganAt) >= bootstrapPatience
+	total, found, complete := s.countContacts()
+	switch {
+	case !complete && !patient, total == 0:
+		return
+	case found == total, patient && 2*found > total:
+		s.contacts.bootstrapped = true
+	}
+}
+
+// countContacts returns how many instances should exist, this one included,
+// and how many of them are known. Complete is false if the listing is too old
+// to name this instance. Without a listing the addresses from the settings
+// stand in; without either there is nothing to go by.
+func (s *State) countContacts() (total, found int, complete bool) {
+	k := s.known()
+	if len(s.contacts.listing.Instances) == 0 && len(s.options.Contacts) > 0 {
+		total, found = 1, 1
+		for _, address := range s.options.Contacts {
+			if address == s.options.Peer {
+				continue
+			}
+			total++
+			if k.addresses[address] {
+				found++
+			}
+		}
+		return total, found, true
+	}
+	if !s.contacts.listed {
+		return 0, 0, false
+	}
+	total, found = 1, 1
+	for _, instance := range s.contacts.listing.Instances {
+		switch {
+		case instance.ID == s.options.ID:
+			complete = true
+		case instance.Presence == fleet.Live:
+			total++
+			if k.ids[instance.ID] {
+				found++
+			}
+		}
+	}
+	return total, found, complete
+}
+
+// contact sends Syncs to addresses whose member is unknown. An instance that
+// is not bootstrapped also asks the members that it knows.
+func (s *State) contact(now time.Time, effects *Effects) {
+	if now.Before(s.contacts.due) || s.self.Status == Left {
+		return
+	}
+	count, interval := joinContacts, joinContactEvery
+	if s.contacts.bootstrapped {
+		count, interval = 1, contactEvery
+	}
+	s.contacts.due = now.Add(interval)
+	addresses := s.contactAddresses(now)
+	for range min(count, len(addresses)) {
+		i := int(s.options.Random.Uint64() % uint64(len(addresses)))
+		s.contacts.askedAt[addresses[i]] = now
+		s.sync(now, Peer{Address: addresses[i]}, effects)
+		addresses = slices.Delete(addresses, i, i+1)
+	}
+}
+
+// contactAddresses returns the addresses that may be asked now.
+func (s *State) contactAddresses(now time.Time) []fleet.Address {
+	k := s.known()
+	var addresses []fleet.Address
+	add := func(address fleet.Address) {
+		recent := now.Sub(s.contacts.askedAt[address]) < contactRetry
+		if address != s.options.Peer && !recent && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, instance := range s.contacts.listing.Instances {
+		if !k.ids[instance.ID] {
+			add(instance.Peer)
+		}
+	}
+	for _, address := range s.options.Contacts {
+		if !k.addresses[address] {
+			add(address)
+		}
+	}
+	for _, e := range s.sorted {
+		rejoining := e.Status == Fenced && !k.ids[e.Member.ID]
+		if rejoining || !s.contacts.bootstrapped && !e.Status.Ended() {
+			add(e.Peer)
+		}
+	}
+	return addresses
+}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -84,15 +84,14 @@
 	News   News
 }
 
-// SyncRequest carries all records of the sender.
+// SyncRequest carries all records of the sender, its own first.
 type SyncRequest struct {
 	From    fleet.Member
 	Records []Record
 }
 
-// SyncReply carries all records of the receiver.
+// SyncReply carries all records of the receiver, its own first.
 type SyncReply struct {
-	From    fleet.Member
 	Records []Record
 }
 
