--- /dev/null
+++ b/core/questionnaire/note.go
@@ -0,0 +1,80 @@
+package questionnaire
+
+import (
+	"fmt"
+
+	"galenaridge/core/config"
+	"galenaridge/core/fleet"
+	"galenaridge/core/problem"
+)
+
+// Note explains one number of a generated document.
+type Note struct {
+	// Path names the field, such as "services[2].floor".
+	Path string
+	Text string
+}
+
+// notes returns the notes on a document generated from answers.
+func notes(a Answers, d config.Document, previous fleet.Version) []Note {
+	list := []Note{
+		{"version", fmt.Sprintf("one more than the previous version, %d", previous)},
+		{"digest", "SHA-256 over the canonical form; changes with any value"},
+	}
+	for i, s := range a.Services {
+		list = append(list, serviceNotes(problem.Index("services", i), s, len(a.Domains))...)
+	}
+	total := 0
+	for _, t := range a.Tenants {
+		total += t.Weight
+	}
+	for i, t := range a.Tenants {
+		list = append(list, Note{
+			problem.Index("tenants", i) + ".weight",
+			fmt.Sprintf("%d of %d: %d%% of the slots when all tenants queue", t.Weight, total, 100*t.Weight/total),
+		})
+	}
+	return append(list, limitNotes(a, d)...)
+}
+
+func serviceNotes(path string, s Service, domains int) []Note {
+	return []Note{
+		{path + ".slots", fmt.Sprintf("%d servers x %d slots = %d requests at a time", s.Servers, s.Slots, int(s.Servers)*int(s.Slots))},
+		{path + ".conns", fmt.Sprintf("%d servers x %d connections = %d connections", s.Servers, s.Conns, int(s.Servers)*int(s.Conns))},
+		{path + ".floor", floorNote(s, domains)},
+		{path + ".deadline", "also the time after fencing until another instance claims a server"},
+		{path + ".detect", "from the answer detect"},
+	}
+}
+
+// floorNote says how many servers can be ejected, now and after the loss of a
+// failure domain, if servers are spread evenly.
+func floorNote(s Service, domains int) string {
+	text := fmt.Sprintf("%d servers - floor %d = at most %d ejected at a time", s.Servers, s.Floor, s.Servers-s.Floor)
+	if domains < 2 {
+		return text
+	}
+	left := s.Servers - (s.Servers+fleet.Servers(domains)-1)/fleet.Servers(domains)
+	return fmt.Sprintf("%s, and %d while one of %d failure domains is lost", text, max(0, left-s.Floor), domains)
+}
+
+func limitNotes(a Answers, d config.Document) []Note {
+	longest := config.LongestDeadline(d)
+	return []Note{
+		{"limits.body", origin(a.Limits.Body != 0) + "; bytes of a request or response body"},
+		{"limits.header", origin(a.Limits.Header != 0) + "; bytes of a request header"},
+		{"limits.assignment", origin(a.Limits.Assignment != 0) + "; a planned stop waits as long"},
+		{
+			"limits.token",
+			fmt.Sprintf("%s; at least assignment %v + longest deadline %v = %v",
+				origin(a.Limits.Token != 0), d.Limits.Assignment, longest, d.Limits.Assignment+longest),
+		},
+	}
+}
+
+func origin(answered bool) string {
+	if answered {
+		return "from the answers"
+	}
+	return "default"
+}
--- /dev/null
+++ b/core/questionnaire/validate.go
@@ -0,0 +1,62 @@
+package questionnaire
+
+import (
+	"fmt"
+	"strings"
+
+	"galenaridge/core/config"
+	"galenaridge/core/fleet"
+	"galenaridge/core/problem"
+)
+
+// maxServers is far above the 5,400 servers expected over all services.
+const maxServers = fleet.Servers(100_000)
+
+// Validate returns a problem.List if the answers break a rule.
+func Validate(a Answers) error {
+	var c problem.Checker
+	for i, s := range a.Services {
+		checkService(&c, problem.Index("services", i), s)
+	}
+	checkDocument(&c, a)
+	return c.Err()
+}
+
+func checkService(c *problem.Checker, path string, s Service) {
+	problem.Between(c, path+".servers", s.Servers, 1, maxServers)
+	if s.Servers >= 1 {
+		c.That(
+			s.Floor >= 1 && s.Floor <= s.Servers, path+".floor", s.Floor,
+			fmt.Sprintf("1 to %d, the number of servers", s.Servers),
+		)
+	}
+	listed := make(map[Request]string)
+	checkRequests(c, path+".protected", s.Protected, listed)
+	checkRequests(c, path+".idempotent", s.Idempotent, listed)
+}
+
+// checkRequests checks requests and that none is in listed, which maps those
+// seen before to their paths.
+func checkRequests(c *problem.Checker, path string, requests []Request, listed map[Request]string) {
+	for i, r := range requests {
+		at := problem.Index(path, i)
+		config.CheckRoute(c, at, r.Method, r.Path)
+		if first, ok := listed[r]; ok {
+			c.Add(at, r.Method+" "+r.Path, "a request that differs from "+first)
+			continue
+		}
+		listed[r] = at
+	}
+}
+
+// checkDocument applies the rules of the document that the answers lead to.
+// Fields have the same paths in both, apart from routes, which are checked as
+// requests already.
+func checkDocument(c *problem.Checker, a Answers) {
+	list, _ := problem.As(config.Validate(build(a, 1)))
+	for _, p := range list {
+		if !strings.Contains(p.Path, ".routes") && !strings.HasSuffix(p.Path, ".floor") {
+			c.Add(p.Path, p.Value, p.Expected)
+		}
+	}
+}
