--- a/io/document/document.go
+++ b/io/document/document.go
@@ -1,25 +1,101 @@
 package document
 
 import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+
 	"galenaridge/core/config"
+	"galenaridge/core/problem"
 	"galenaridge/core/questionnaire"
+	"galenaridge/io/strictyaml"
 )
 
+// valueLimit is the largest value in bytes that the platform holds.
+const valueLimit = 1_000_000
+
+// commentWidth keeps a comment on the line of its value short enough to read.
+const commentWidth = 60
+
+// TooLargeError means that a configuration does not fit the platform.
+type TooLargeError struct {
+	// Size is in bytes.
+	Size int
+}
+
+// Error returns the size and the limit.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the configuration has %d bytes, more than the %d of a platform value", e.Size, valueLimit)
+}
+
+// IsTooLarge reports whether err is a TooLargeError.
+func IsTooLarge(err error) bool {
+	var large *TooLargeError
+	return errors.As(err, &large)
+}
+
 // DecodeAnswers reads and validates answers. The file name is used in errors
-// only. Errors are Mistakes.
+// only. Wrong answers are strictyaml.Mistakes.
 func DecodeAnswers(file string, data []byte) (questionnaire.Answers, error) {
-	return questionnaire.Answers{}, nil
+	var a questionnaire.Answers
+	positions, err := strictyaml.Decode(file, data, &a)
+	if err != nil {
+		return questionnaire.Answers{}, err
+	}
+	if err := questionnaire.Validate(a); err != nil {
+		return questionnaire.Answers{}, positions.Mistakes(err)
+	}
+	return a, nil
 }
 
 // EncodeAnswers writes answers as YAML.
-func EncodeAnswers(a questionnaire.Answers) ([]byte, error) { return nil, nil }
+func EncodeAnswers(a questionnaire.Answers) ([]byte, error) {
+	data, err := yaml.MarshalWithOptions(a, yaml.IndentSequence(true), yaml.OmitZero())
+	return data, eris.Wrap(err, "encode answers")
+}
 
 // DecodeConfig reads a configuration document, validates it and checks its
-// digest. The file name is used in errors only. Errors are Mistakes.
+// digest. The file name is used in errors only. A wrong document is
+// strictyaml.Mistakes.
 func DecodeConfig(file string, data []byte) (config.Document, error) {
-	return config.Document{}, nil
+	var d config.Document
+	positions, err := strictyaml.Decode(file, data, &d)
+	if err != nil {
+		return config.Document{}, err
+	}
+	if err := config.Validate(d); err != nil {
+		return config.Document{}, positions.Mistakes(err)
+	}
+	if digest := config.DigestOf(d); d.Digest != digest {
+		return config.Document{}, strictyaml.Mistakes{positions.Mistake(problem.Problem{
+			Path: "digest", Value: string(d.Digest),
+			Expected: string(digest) + "; configuration is generated from answers, never edited",
+		})}
+	}
+	return d, nil
 }
 
 // EncodeConfig writes a configuration document as YAML with the notes as
-// comments; notes may be nil.
-func EncodeConfig(d config.Document, notes []questionnaire.Note) ([]byte, error) { return nil, nil }
+// comments; notes may be nil. It fails with a TooLargeError if the result
+// does not fit the platform.
+func EncodeConfig(d config.Document, notes []questionnaire.Note) ([]byte, error) {
+	comments := make(yaml.CommentMap, len(notes))
+	for _, n := range notes {
+		comment := yaml.LineComment(" " + n.Text)
+		if len(n.Text) > commentWidth {
+			comment = yaml.HeadComment(" " + n.Text)
+		}
+		comments["$."+n.Path] = []*yaml.Comment{comment}
+	}
+	data, err := yaml.MarshalWithOptions(d, yaml.IndentSequence(true), yaml.WithComment(comments))
+	if err != nil {
+		return nil, eris.Wrap(err, "encode configuration")
+	}
+	if len(data) > valueLimit {
+		return nil, &TooLargeError{Size: len(data)}
+	}
+	return bytes.TrimRight(data, " "), nil
+}
--- a/io/document/mistake.go
+++ b/io/strictyaml/mistake.go
@@ -1,4 +1,4 @@
-package document
+package strictyaml
 
 import (
 	"errors"
@@ -6,12 +6,15 @@
 	"strings"
 )
 
-// Mistake is one mistake in a file.
+// Mistake is one mistake of an operator.
 type Mistake struct {
-	File   string
+	// Source is the file, or what else the value was read from.
+	Source string
+	// Line and Column count from 1; they are zero outside files.
 	Line   int
 	Column int
-	// Key is the path of the key, such as "services[2].floor".
+	// Key is the path of the key, such as "services[2].floor"; empty if the
+	// text is not YAML at all.
 	Key string
 	// Value is the wrong value as written; empty if it is missing.
 	Value string
@@ -21,10 +24,25 @@
 
 // Error returns the mistake as one line.
 func (m Mistake) Error() string {
-	return fmt.Sprintf("%s:%d:%d: %s: got %q, expected %s", m.File, m.Line, m.Column, m.Key, m.Value, m.Expected)
+	var b strings.Builder
+	b.WriteString(m.Source)
+	if m.Line > 0 {
+		fmt.Fprintf(&b, ":%d:%d", m.Line, m.Column)
+	}
+	b.WriteString(": ")
+	if m.Key != "" {
+		b.WriteString(m.Key + ": ")
+	}
+	if m.Value == "" {
+		b.WriteString("missing or empty, ")
+	} else {
+		fmt.Fprintf(&b, "got %q, ", m.Value)
+	}
+	b.WriteString("expected " + m.Expected)
+	return b.String()
 }
 
-// Mistakes lists all mistakes found in a file.
+// Mistakes lists all mistakes found. It is an error if not empty.
 type Mistakes []Mistake
 
 // Error returns one line for each mistake.
