--- a/io/strictyaml/decode.go
+++ b/io/strictyaml/decode.go
@@ -20,26 +20,24 @@
 	at   map[string]*token.Position
 }
 
-// Decode decodes one YAML document into the struct that target points to. The
-// file name is used in mistakes only. Mistakes in the text are Mistakes.
+// Decode decodes one YAML document into the struct that target points to. Keys
+// that are missing leave their fields as they are. The file name is used in
+// mistakes only. Mistakes in the text are Mistakes.
 func Decode(file string, data []byte, target any) (Positions, error) {
 	root, err := parse(file, data)
 	if err != nil {
 		return Positions{}, err
 	}
-	s := &schema{file: file, positions: make(map[string]*token.Position)}
-	s.check("", root, reflect.TypeOf(target).Elem())
-	if len(s.mistakes) > 0 {
-		return Positions{}, s.mistakes
+	d := &decoder{file: file, positions: make(map[string]*token.Position)}
+	d.decode("", root, reflect.ValueOf(target).Elem())
+	if len(d.mistakes) > 0 {
+		return Positions{}, d.mistakes
 	}
-	if err := yaml.NodeToValue(root, target, yaml.Strict()); err != nil {
-		return Positions{}, eris.Wrapf(err, "decode %s", file)
-	}
-	return Positions{file: file, at: s.positions}, nil
+	return Positions{file: file, at: d.positions}, nil
 }
 
 func parse(file string, data []byte) (ast.Node, error) {
-	// Keys given twice are left to the schema, which reports them like all
+	// Keys given twice are left to the decoder, which reports them like all
 	// other mistakes.
 	tree, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 	var syntax yaml.Error
