--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenaridge/core/fleet"
+	"galenaridge/standin/port"
 )
 
 func init() { toxics.Register(toxicType, new(directionToxic)) }
@@ -40,6 +41,8 @@
 	target fleet.Address
 	up     *direction
 	down   *direction
+	// held keeps the port while the link refuses connections.
+	held *port.Reservation
 
 	mu    sync.Mutex
 	proxy *toxiproxy.Proxy
@@ -47,7 +50,12 @@
 }
 
 func open(options Options, clock clockwork.Clock) (*link, error) {
+	held, err := port.Reserve(options.Listen)
+	if err != nil {
+		return nil, err
+	}
 	l := &link{
+		held:   held,
 		name:   options.Name,
 		target: options.Target,
 		up:     newDirection(clock, options.Seed),
@@ -55,21 +63,24 @@
 		proxy:  toxiproxy.NewProxy(),
 	}
 	l.proxy.Name = options.Name
-	l.proxy.Listen = string(options.Listen)
+	l.proxy.Listen = string(held.Address())
 	l.proxy.Upstream = string(options.Target)
-	if err := l.attach(stream.Upstream, l.up); err != nil {
-		return nil, err
-	}
-	if err := l.attach(stream.Downstream, l.down); err != nil {
+	if err := l.begin(options.Shape); err != nil {
+		l.close()
 		return nil, err
 	}
-	if err := l.proxy.Start(); err != nil {
-		return nil, eris.Wrapf(err, "open link %s", l.name)
+	return l, nil
+}
+
+// begin puts the toxics and the first shape in place and listens.
+func (l *link) begin(shape Shape) error {
+	if err := l.attach(stream.Upstream, l.up); err != nil {
+		return err
 	}
-	if err := l.set(options.Shape); err != nil {
-		return nil, err
+	if err := l.attach(stream.Downstream, l.down); err != nil {
+		return err
 	}
-	return l, nil
+	return l.set(shape)
 }
 
 // attach adds our toxic before the first connection, so that the library
@@ -107,7 +118,7 @@
 	if l.proxy.Enabled {
 		return nil
 	}
-	return eris.Wrapf(l.proxy.Start(), "open link %s again", l.name)
+	return eris.Wrapf(l.proxy.Start(), "open link %s", l.name)
 }
 
 // close ends the link and its connections.
@@ -117,6 +128,7 @@
 	l.proxy.Stop()
 	l.up.close()
 	l.down.close()
+	l.held.Release()
 }
 
 // state returns what the link does and did.
