--- a/standin/cmd/server/main.go
+++ b/standin/cmd/server/main.go
@@ -50,6 +50,7 @@
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the service times"},
 		&cli.IntFlag{Name: "cold", Usage: "number of first requests that take longer"},
 		&cli.FloatFlag{Name: "cold-factor", Value: 1, Usage: "how many times longer they take"},
+		&cli.StringFlag{Name: "journal", Usage: "file to append each protected key to as it starts"},
 	}
 }
 
@@ -87,6 +88,7 @@
 		Seed:       c.Uint64("seed"),
 		Cold:       c.Int("cold"),
 		ColdFactor: c.Float("cold-factor"),
+		Journal:    c.String("journal"),
 	}}, nil
 }
 
--- /dev/null
+++ b/standin/harness/fleet_test.go
@@ -0,0 +1,351 @@
+package harness_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/fleet"
+	"galenaridge/standin/harness"
+	"galenaridge/standin/platform"
+	"galenaridge/standin/server"
+)
+
+// open starts a deployment of fake instances.
+func open(t *testing.T, d harness.Deployment) (context.Context, *harness.Fleet) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	t.Cleanup(cancel)
+	f, err := harness.Open(ctx, harness.Options{
+		Deployment: d,
+		Bin:        bin,
+		Program:    []string{os.Args[0]},
+		Config:     []byte("version: 1\n"),
+		Dir:        t.TempDir(),
+	})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	require.NoError(t, f.WaitReady(ctx))
+	return ctx, f
+}
+
+// small returns two failure domains with two instances and two servers each.
+func small() harness.Deployment {
+	return harness.Deployment{
+		Domains:   []fleet.Domain{"a", "b"},
+		Services:  []harness.Service{{Name: "svc", Servers: 4, Slots: 2}},
+		Instances: 4,
+		Delay:     time.Millisecond,
+		LinkEach:  true,
+		Alone:     []fleet.ServerID{"svc-2"},
+		Seed:      1,
+	}
+}
+
+type settings struct {
+	ID       string                          `yaml:"id"`
+	Platform []string                        `yaml:"platform"`
+	Seeds    []fleet.Address                 `yaml:"seeds"`
+	Via      map[fleet.Address]fleet.Address `yaml:"via"`
+}
+
+func settingsOf(ctx context.Context, t *testing.T, f *harness.Fleet, slot harness.Slot) settings {
+	t.Helper()
+	text, err := f.InstanceState(ctx, slot)
+	require.NoError(t, err)
+	var s settings
+	require.NoError(t, yaml.Unmarshal(text, &s))
+	return s
+}
+
+// answers reports whether a request gets an answer within a short time.
+func answers(ctx context.Context, url string, headers ...string) bool {
+	ctx, cancel := context.WithTimeout(ctx, 250*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return false
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(r)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return err == nil
+}
+
+// Guards against a harness that is too slow for the demo, and one that leaves
+// processes behind.
+func TestPresetsStartFastAndEnd(t *testing.T) {
+	tests := []struct {
+		name       string
+		deployment harness.Deployment
+		servers    int
+	}{
+		{"kuvuka", harness.Kuvuka(9), 26},
+		{"bluemahoe", harness.BlueMahoe(9), 36},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			began := time.Now()
+			ctx, f := open(t, test.deployment)
+			assert.Less(t, time.Since(began), 3*time.Second)
+			t.Logf("start took %s", time.Since(began))
+			stats, err := f.ServerStats(ctx)
+			require.NoError(t, err)
+			assert.Len(t, stats, test.servers)
+			ids := f.ProcessIDs()
+			assert.Len(t, ids, 9+2+len(test.deployment.Domains))
+			f.Close()
+			for _, id := range ids {
+				require.ErrorIs(t, syscall.Kill(id, 0), syscall.ESRCH)
+			}
+		})
+	}
+}
+
+// Guards against processes that outlive a cancelled run.
+func TestContextEndsProcesses(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	f, err := harness.Open(ctx, harness.Options{Deployment: small(), Bin: bin, Program: []string{os.Args[0]}})
+	require.NoError(t, err)
+	ids := f.ProcessIDs()
+	cancel()
+	for _, id := range ids {
+		require.Eventually(t, func() bool { return syscall.Kill(id, 0) != nil }, 5*time.Second, 5*time.Millisecond)
+	}
+	f.Close()
+}
+
+// Guards against a part that claims to start although it has exited.
+func TestOpenRefusals(t *testing.T) {
+	tests := []struct {
+		name    string
+		options harness.Options
+		failure string
+	}{
+		{"no domains", harness.Options{Deployment: harness.Deployment{Instances: 1}, Bin: bin}, "failure domain"},
+		{"no programs", harness.Options{Deployment: small(), Bin: filepath.Join(bin, "none")}, "no such file"},
+		{"instance exits", harness.Options{Deployment: small(), Bin: bin, Program: []string{"/bin/false"}}, "exited"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			f, err := harness.Open(ctx, test.options)
+			if err == nil {
+				defer f.Close()
+				err = f.WaitReady(ctx)
+			}
+			require.ErrorContains(t, err, test.failure)
+		})
+	}
+}
+
+// Guards against faults that do not reach the process or the list, so that a
+// proof would run without its fault.
+func TestInstanceFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		act    func(ctx context.Context, f *harness.Fleet) error
+		ready  bool
+		listed string
+		id     fleet.InstanceID
+	}{
+		{"kill", func(ctx context.Context, f *harness.Fleet) error { return f.Kill(ctx, "i2") }, false, "", "i2"},
+		{"stop", func(ctx context.Context, f *harness.Fleet) error { return f.Stop(ctx, "i2") }, false, "", "i2"},
+		{"pause", func(_ context.Context, f *harness.Fleet) error { return f.Pause("i2") }, false, "i2", "i2"},
+		{"resume", func(_ context.Context, f *harness.Fleet) error {
+			if err := f.Pause("i2"); err != nil {
+				return err
+			}
+			return f.Resume("i2")
+		}, true, "i2", "i2"},
+		{"restart", func(ctx context.Context, f *harness.Fleet) error { return f.Restart(ctx, "i2") }, true, "i2", "i2"},
+		{"replace", func(ctx context.Context, f *harness.Fleet) error {
+			_, err := f.Replace(ctx, "i2")
+			return err
+		}, true, "i2-2", "i2-2"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			ctx, f := open(t, small())
+			via := settingsOf(ctx, t, f, "i1").Via
+			var peer fleet.Address
+			for _, in := range listingOf(ctx, t, f).Instances {
+				if in.ID == "i2" {
+					peer = in.Peer
+				}
+			}
+			require.NoError(t, test.act(ctx, f))
+			if test.ready {
+				require.NoError(t, f.WaitReady(ctx))
+			}
+			assert.Equal(t, test.ready, answers(ctx, "http://"+string(via[peer])+"/ready"))
+			id, err := f.InstanceID("i2")
+			require.NoError(t, err)
+			assert.Equal(t, test.id, id)
+			ids := []string{}
+			for _, in := range listingOf(ctx, t, f).Instances {
+				if in.Peer == peer {
+					ids = append(ids, string(in.ID))
+				}
+			}
+			if test.listed == "" {
+				assert.Empty(t, ids)
+			} else {
+				assert.Equal(t, []string{test.listed}, ids)
+			}
+		})
+	}
+}
+
+// listingOf reads the list as the first instance would.
+func listingOf(ctx context.Context, t *testing.T, f *harness.Fleet) fleet.Listing {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, settingsOf(ctx, t, f, "i1").Platform[0]+"/v1/list", http.NoBody)
+	require.NoError(t, err)
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(r)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	var list fleet.Listing
+	require.NoError(t, yaml.Unmarshal(text, &list))
+	return list
+}
+
+// Guards against a cut at the wrong end or in the wrong direction. Slots i1
+// and i3 are in failure domain a, i2 and i4 in b.
+func TestCuts(t *testing.T) {
+	tests := []struct {
+		name string
+		cut  func(ctx context.Context, f *harness.Fleet) error
+		// answered says which of i1 to i2, i2 to i1, i3 to i2 and i1 to i3
+		// still get answers; a cut of one way stops the answers of both.
+		answered [4]bool
+	}{
+		{"domains, one way", func(ctx context.Context, f *harness.Fleet) error {
+			return f.Cut(ctx, harness.Domain("a"), harness.Domain("b"))
+		}, [4]bool{false, false, false, true}},
+		{"instances, both ways", func(ctx context.Context, f *harness.Fleet) error {
+			return f.CutBoth(ctx, harness.Instance("i1"), harness.Instance("i2"))
+		}, [4]bool{false, false, true, true}},
+		{"within a domain", func(ctx context.Context, f *harness.Fleet) error {
+			return f.Cut(ctx, harness.Instance("i3"), harness.Instance("i1"))
+		}, [4]bool{true, true, true, false}},
+		{"healed", func(ctx context.Context, f *harness.Fleet) error {
+			if err := f.CutBoth(ctx, harness.Domain("a"), harness.Domain("b")); err != nil {
+				return err
+			}
+			return f.HealAll(ctx)
+		}, [4]bool{true, true, true, true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			ctx, f := open(t, small())
+			peers := map[string]fleet.Address{}
+			for _, in := range listingOf(ctx, t, f).Instances {
+				peers[string(in.ID)] = in.Peer
+			}
+			via := map[string]map[fleet.Address]fleet.Address{}
+			for _, slot := range []harness.Slot{"i1", "i2", "i3"} {
+				via[string(slot)] = settingsOf(ctx, t, f, slot).Via
+			}
+			require.NoError(t, test.cut(ctx, f))
+			var got [4]bool
+			for i, pair := range [][2]string{{"i1", "i2"}, {"i2", "i1"}, {"i3", "i2"}, {"i1", "i3"}} {
+				got[i] = answers(ctx, "http://"+string(via[pair[0]][peers[pair[1]]])+"/ready")
+			}
+			assert.Equal(t, test.answered, got)
+		})
+	}
+}
+
+// Guards against a killed server whose runs are forgotten, which would hide
+// double runs.
+func TestServerFaults(t *testing.T) {
+	tests := []struct {
+		name     string
+		act      func(ctx context.Context, f *harness.Fleet) error
+		answered bool
+	}{
+		{"none", func(context.Context, *harness.Fleet) error { return nil }, true},
+		{"kill", func(ctx context.Context, f *harness.Fleet) error { return f.KillServer(ctx, "svc-2") }, false},
+		{"restart", func(ctx context.Context, f *harness.Fleet) error {
+			if err := f.KillServer(ctx, "svc-2"); err != nil {
+				return err
+			}
+			return f.RestartServer(ctx, "svc-2")
+		}, true},
+		{"stall", func(ctx context.Context, f *harness.Fleet) error {
+			return f.SetServerFault(ctx, "svc-2", server.Fault{Kind: server.FaultStall})
+		}, false},
+		{"drain", func(ctx context.Context, f *harness.Fleet) error { return f.DrainServer(ctx, "svc-2") }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			ctx, f := open(t, small())
+			url := ""
+			for _, s := range f.Servers() {
+				if s.ID == "svc-2" {
+					url = "http://" + string(settingsOf(ctx, t, f, "i1").Via[s.Address]) + "/"
+				}
+			}
+			require.True(t, answers(ctx, url, server.HeaderKey, "k1"))
+			require.NoError(t, test.act(ctx, f))
+			assert.Equal(t, test.answered, answers(ctx, url, server.HeaderKey, "k2"))
+			keys, err := f.ServerKeys(ctx)
+			require.NoError(t, err)
+			assert.Equal(t, 1, keys["k1"])
+		})
+	}
+}
+
+// Guards against a lag or a fault of the platform that does not reach readers.
+func TestPlatformFaults(t *testing.T) {
+	tests := []struct {
+		name     string
+		fault    platform.Fault
+		revision int
+	}{
+		{"up", platform.Fault{}, 2},
+		{"down", platform.Fault{Mode: platform.Down}, 0},
+		{"older", platform.Fault{ConfigRevision: 1}, 1},
+	}
+	ctx, f := open(t, small())
+	require.NoError(t, f.PublishConfig(ctx, []byte("version: 2\n")))
+	url := settingsOf(ctx, t, f, "i1").Platform[0] + "/v1/config"
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.NoError(t, f.SetPlatformFault(ctx, test.fault))
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+			require.NoError(t, err)
+			revision := 0
+			if resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r); err == nil {
+				revision, _ = strconv.Atoi(resp.Header.Get(platform.HeaderRevision))
+				_ = resp.Body.Close()
+			}
+			assert.Equal(t, test.revision, revision)
+		})
+	}
+}
--- /dev/null
+++ b/standin/harness/main_test.go
@@ -0,0 +1,84 @@
+package harness_test
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"syscall"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"go.uber.org/goleak"
+)
+
+// fakeVariable makes the test program act as an instance.
+const fakeVariable = "GALENARIDGE_FAKE_INSTANCE"
+
+// bin holds the stand-ins that the tests run.
+var bin string
+
+func TestMain(m *testing.M) {
+	if os.Getenv(fakeVariable) != "" {
+		os.Exit(fakeInstance())
+	}
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	var err error
+	if bin, err = os.MkdirTemp("", "harness-bin-"); err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(bin) }()
+	build := exec.Command("go", "build", "-o", bin+"/", "../cmd/server", "../cmd/platform", "../cmd/link")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	if err := os.Setenv(fakeVariable, "1"); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	if err := goleak.Find(); code == 0 && err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return code
+}
+
+// fakeInstance answers at its operator address and exits with 0 on SIGTERM.
+func fakeInstance() int {
+	file := flag.String("settings", "", "")
+	flag.Parse()
+	text, err := os.ReadFile(*file)
+	if err != nil {
+		return 1
+	}
+	var settings struct {
+		ID       string            `yaml:"id"`
+		Domain   string            `yaml:"domain"`
+		Caller   string            `yaml:"caller"`
+		Peer     string            `yaml:"peer"`
+		Operator string            `yaml:"operator"`
+		Platform []string          `yaml:"platform"`
+		Seeds    []string          `yaml:"seeds"`
+		Via      map[string]string `yaml:"via"`
+		Log      map[string]string `yaml:"log"`
+	}
+	if err := yaml.UnmarshalWithOptions(text, &settings, yaml.Strict()); err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(text) })
+	for _, address := range []string{settings.Caller, settings.Peer, settings.Operator} {
+		go func() { fmt.Println(http.ListenAndServe(address, mux)) }()
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	<-stop
+	return 0
+}
--- a/standin/server/commands.go
+++ b/standin/server/commands.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"io"
 	"sync"
 	"time"
 
@@ -16,10 +17,13 @@
 	keys       map[fleet.Key]int
 	drainSince time.Time
 	lastStart  time.Time
+	// journal receives each key that starts to run, one a line, so that the
+	// count survives the process.
+	journal io.Writer
 }
 
-func newLedger(slots fleet.Slots) *ledger {
-	return &ledger{slots: slots, keys: map[fleet.Key]int{}}
+func newLedger(slots fleet.Slots, journal io.Writer) *ledger {
+	return &ledger{slots: slots, keys: map[fleet.Key]int{}, journal: journal}
 }
 
 // begin takes a slot for a request and reports whether there was one. The
@@ -40,6 +44,7 @@
 	}
 	if key != "" {
 		l.keys[key]++
+		_, _ = io.WriteString(l.journal, string(key)+"\n")
 	}
 	return l.stats.Started, true
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 
 	"github.com/jonboulle/clockwork"
@@ -40,6 +41,9 @@
 	// The first Cold requests take ColdFactor times as long.
 	Cold       int     `json:"cold,omitempty"`
 	ColdFactor float64 `json:"cold_factor,omitempty"`
+	// Journal is a file to which each protected key is appended as it starts
+	// to run, one a line; empty means none.
+	Journal string `json:"journal,omitempty"`
 }
 
 // Server is one running server.
@@ -51,14 +55,20 @@
 	times   *serviceTimes
 	data    *listener
 	control *listener
+	journal io.WriteCloser
 }
 
 // Start opens both listeners and serves them until Close.
 func Start(options Options, clock clockwork.Clock) (*Server, error) {
+	journal, err := openJournal(options.Journal)
+	if err != nil {
+		return nil, err
+	}
 	s := &Server{
 		options: options,
 		clock:   clock,
-		ledger:  newLedger(options.Slots),
+		journal: journal,
+		ledger:  newLedger(options.Slots, journal),
 		faults:  newFaults(),
 		times: &serviceTimes{
 			rng:    rand.New(rand.NewPCG(options.Seed, 1)),
@@ -71,10 +81,11 @@
 	s.data = newListener(options.Listen, s.workRoutes(), s.connState)
 	s.control = newListener(options.Control, s.controlRoutes(), nil)
 	if err := s.data.open(); err != nil {
+		s.Close()
 		return nil, err
 	}
 	if err := s.control.open(); err != nil {
-		s.data.close()
+		s.Close()
 		return nil, err
 	}
 	return s, nil
@@ -139,6 +150,21 @@
 func (s *Server) Close() {
 	s.data.close()
 	s.control.close()
+	_ = s.journal.Close()
+}
+
+// nopCloser is a journal that keeps nothing.
+type nopCloser struct{ io.Writer }
+
+// Close does nothing.
+func (nopCloser) Close() error { return nil }
+
+func openJournal(name string) (io.WriteCloser, error) {
+	if name == "" {
+		return nopCloser{io.Discard}, nil
+	}
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return file, eris.Wrap(err, "open the journal")
 }
 
 // listener serves HTTP at one address and can be closed and opened again.
