--- /dev/null
+++ b/io/caller/routes.go
@@ -0,0 +1,97 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+)
+
+// assignmentBody is the JSON of an assignment.
+type assignmentBody struct {
+	Service    fleet.ServiceName `json:"service"`
+	Version    fleet.Version     `json:"version"`
+	Addresses  []placeBody       `json:"addresses"`
+	TTLMS      int64             `json:"ttl_ms"`
+	Token      string            `json:"token"`
+	TokenTTLMS int64             `json:"token_ttl_ms"`
+}
+
+// placeBody is the JSON of one address of an assignment.
+type placeBody struct {
+	Address fleet.Address `json:"address"`
+	Domain  fleet.Domain  `json:"domain"`
+}
+
+// newRoutes returns the handler of the paths under /-/.
+func (s *Server) newRoutes() fasthttp.RequestHandler {
+	app := fiber.New(fiber.Config{
+		ErrorHandler: func(c fiber.Ctx, _ error) error {
+			return s.refuseRoute(c, exchange.Refuse(exchange.BadRequest, "the request is not valid"))
+		},
+	})
+	app.Get("/-/assign", s.assign)
+	app.Use(func(c fiber.Ctx) error {
+		return s.refuseRoute(c, exchange.Refuse(exchange.NoService, "there is no such path under /-/"))
+	})
+	return app.Handler()
+}
+
+// assign answers which addresses to use. Strings of fiber are valid only
+// while the handler runs, so they are cloned.
+func (s *Server) assign(c fiber.Ctx) error {
+	service := strings.Clone(c.Query("service"))
+	domain := strings.Clone(c.Query("domain"))
+	if !validName(service) || domain != "" && !validName(domain) {
+		return s.refuseRoute(c, exchange.Refuse(exchange.BadRequest, "service or domain is not valid"))
+	}
+	assignment, err := s.options.Assigner.Assign(fleet.ServiceName(service), fleet.Domain(domain))
+	if err != nil {
+		return s.refuseRoute(c, assignRefusal(err))
+	}
+	body, err := json.Marshal(encodeAssignment(assignment))
+	if err != nil {
+		return err
+	}
+	ctx := c.RequestCtx()
+	s.writeCommon(ctx, fleet.Done)
+	s.series.assigned("assigned")
+	ctx.Response.Header.SetContentType("application/json")
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
+	ctx.SetBody(body)
+	return nil
+}
+
+func (s *Server) refuseRoute(c fiber.Ctx, response exchange.Response) error {
+	s.series.assigned(s.write(c.RequestCtx(), Result{Response: response}).code)
+	return nil
+}
+
+// assignRefusal returns the refusal in an error of the assigner.
+func assignRefusal(err error) exchange.Response {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Response
+	}
+	return exchange.Refuse(exchange.NotReady, "no assignment can be made yet")
+}
+
+func encodeAssignment(assignment Assignment) assignmentBody {
+	places := make([]placeBody, 0, len(assignment.Addresses))
+	for _, place := range assignment.Addresses {
+		places = append(places, placeBody(place))
+	}
+	return assignmentBody{
+		Service:    assignment.Service,
+		Version:    assignment.Version,
+		Addresses:  places,
+		TTLMS:      assignment.TTL.Milliseconds(),
+		Token:      assignment.Token,
+		TokenTTLMS: assignment.TokenTTL.Milliseconds(),
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -1,16 +1,35 @@
 package caller
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
+	"galenaridge/core/config"
+	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
 )
 
+const (
+	defaultConns  = 10_000
+	defaultHeader = 16 << 10
+	defaultBody   = 1 << 20
+	defaultRead   = 5 * time.Second
+	defaultWrite  = 5 * time.Second
+	defaultIdle   = time.Minute
+)
+
+// ownPrefix starts the paths that belong to the instance.
+var ownPrefix = []byte("/-/")
+
 // Options configures a Server; zero numbers select the defaults.
 type Options struct {
 	Clock    fleet.Clock
@@ -23,10 +42,11 @@
 	Metrics *metrics.Set
 	// Conns is the largest number of open connections; 10,000 by default.
 	Conns int
-	// Header is the largest request header in bytes; 16 KiB by default.
+	// Header is the largest request header in bytes; 16 KiB by default. The
+	// configuration may set a lower limit.
 	Header int
-	// Body is the largest request body in bytes that is read at all; 1 MiB by
-	// default. The limits in force may be lower.
+	// Body is the largest request body in bytes while the configuration sets
+	// no limit; 1 MiB by default.
 	Body int
 	// Read bounds the reading of one request; 5 s by default.
 	Read time.Duration
@@ -36,15 +56,176 @@
 	Idle time.Duration
 }
 
+// withDefaults returns the options with defaults in place of zero numbers.
+func (o Options) withDefaults() Options {
+	o.Conns = orDefault(o.Conns, defaultConns)
+	o.Header = orDefault(o.Header, defaultHeader)
+	o.Body = orDefault(o.Body, defaultBody)
+	o.Read = orDefault(o.Read, defaultRead)
+	o.Write = orDefault(o.Write, defaultWrite)
+	o.Idle = orDefault(o.Idle, defaultIdle)
+	return o
+}
+
+func orDefault[T int | time.Duration](value, otherwise T) T {
+	if value <= 0 {
+		return otherwise
+	}
+	return value
+}
+
 // Server is the front end for callers.
-type Server struct{}
+type Server struct {
+	options Options
+	http    *fasthttp.Server
+	routes  fasthttp.RequestHandler
+	series  *series
+
+	mu       sync.Mutex
+	listener net.Listener
+	stopped  bool
+}
 
 // New returns a server that does not listen yet.
-func New(options Options) *Server { return &Server{} }
+func New(options Options) *Server {
+	s := &Server{options: options.withDefaults(), series: newSeries(options.Metrics)}
+	s.routes = s.newRoutes()
+	s.http = &fasthttp.Server{
+		Handler:                      s.handle,
+		ErrorHandler:                 s.unreadable,
+		HeaderReceived:               s.headerReceived,
+		Logger:                       quiet{options.Log},
+		Concurrency:                  s.options.Conns + 1,
+		ReadBufferSize:               s.options.Header,
+		ReadTimeout:                  s.options.Read,
+		WriteTimeout:                 s.options.Write,
+		IdleTimeout:                  s.options.Idle,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		SecureErrorLogMessage:        true,
+	}
+	return s
+}
+
+// quiet passes the log lines of fasthttp on at debug level: they report
+// mistakes and disconnects of callers, whose number callers decide.
+type quiet struct{ log logrus.FieldLogger }
+
+// Printf logs a line.
+func (q quiet) Printf(format string, args ...any) { q.log.Debugf(format, args...) }
 
 // Serve answers callers on the listener until Shutdown; it then returns nil.
-func (s *Server) Serve(listener net.Listener) error { return nil }
+func (s *Server) Serve(listener net.Listener) error {
+	gated := newGate(listener, s.options.Conns)
+	s.mu.Lock()
+	if s.stopped {
+		s.mu.Unlock()
+		return listener.Close()
+	}
+	s.listener = gated
+	s.mu.Unlock()
+	if err := s.http.Serve(gated); err != nil {
+		return eris.Wrap(err, "serving callers")
+	}
+	return nil
+}
 
 // Shutdown closes the listener and idle connections, and waits until all
-// requests in flight are answered or the context ends.
-func (s *Server) Shutdown(ctx context.Context) error { return nil }
+// requests in flight are answered or the context ends. A request that arrives
+// on an idle connection as it is closed is lost, so Shutdown should follow
+// the time in which callers keep assignments, during which Stopping makes
+// them close their connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopped = true
+	listener := s.listener
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+	err := s.http.ShutdownWithContext(ctx)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return eris.Wrap(err, "waiting for callers")
+	}
+	return nil
+}
+
+// limits returns the limits in force, with defaults.
+func (s *Server) limits() config.Limits {
+	limits := s.options.Policy.Limits()
+	limits.Body = orDefault(limits.Body, s.options.Body)
+	limits.Header = min(orDefault(limits.Header, s.options.Header), s.options.Header)
+	return limits
+}
+
+// headerReceived bounds the body by the limits in force.
+func (s *Server) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{MaxRequestBodySize: s.limits().Body}
+}
+
+// handle answers one request.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if bytes.HasPrefix(ctx.Request.Header.RequestURI(), ownPrefix) {
+		s.routes(ctx)
+		return
+	}
+	started := s.options.Clock.Now()
+	request, token, problem := s.parse(ctx, started)
+	result := Result{}
+	if problem != nil {
+		result.Response = *problem
+	} else {
+		result = s.serve(ctx, request, token)
+	}
+	labels := s.write(ctx, result)
+	took := s.options.Clock.Now().Sub(started)
+	tenant := request.Tenant
+	class, known := s.options.Policy.Class(tenant)
+	s.series.observe(tenant, class, known, took)
+	s.series.count(labels)
+}
+
+// parse returns the request and its token, or a refusal.
+func (s *Server) parse(ctx *fasthttp.RequestCtx, now time.Time) (exchange.Request, string, *exchange.Response) {
+	header := &ctx.Request.Header
+	request, token, err := parseRequest(header, s.limits(), s.options.Policy, now)
+	if err != nil {
+		return exchange.Request{}, "", err
+	}
+	if body := ctx.Request.Body(); len(body) > 0 {
+		request.Body = bytes.Clone(body)
+	}
+	return request, token, nil
+}
+
+// serve calls the handler with a context that ends if the caller goes away.
+func (s *Server) serve(ctx *fasthttp.RequestCtx, request exchange.Request, token string) Result {
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop := watch(ctx.Conn(), cancel)
+	defer stop()
+	return s.options.Handler.Serve(running, request, token)
+}
+
+// unreadable answers a request that could not be read.
+func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	response := exchange.Refuse(exchange.BadRequest, "the request is not valid HTTP/1.1")
+	switch {
+	case errors.As(err, &small):
+		response = exchange.Refuse(exchange.TooLarge, "the header is too large")
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		response = exchange.Refuse(exchange.TooLarge, "the body is too large")
+	case errors.As(err, &network) && network.Timeout():
+		response = exchange.Refuse(exchange.BadRequest, "the request did not arrive in time")
+	}
+	if conn, ok := ctx.Conn().(*gatedConn); ok && !conn.spoke {
+		// Nothing was asked, so an answer could be taken for that of a
+		// request which the caller is about to send.
+		_ = ctx.Conn().Close()
+	}
+	s.series.count(s.write(ctx, Result{Response: response}))
+}
