--- a/io/platform/reader.go
+++ b/io/platform/reader.go
@@ -2,14 +2,28 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"galenaridge/core/fleet"
 )
 
+const (
+	pathConfig = "/v1/config"
+	pathList   = "/v1/list"
+
+	defaultTimeout    = 2 * time.Second
+	defaultConfigWait = 20 * time.Second
+	defaultListWait   = time.Second
+)
+
 // Options configures a Reader and its Watcher; zero numbers select the
 // defaults.
 type Options struct {
@@ -30,6 +44,20 @@
 	ListWait time.Duration
 }
 
+// withDefaults returns the options with defaults in place of zero numbers.
+func (o Options) withDefaults() Options {
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	if o.ConfigWait <= 0 {
+		o.ConfigWait = defaultConfigWait
+	}
+	if o.ListWait <= 0 {
+		o.ListWait = defaultListWait
+	}
+	return o
+}
+
 // Random returns random numbers from 0 to 1, without 1.
 type Random interface {
 	Float64() float64
@@ -42,14 +70,76 @@
 	Value []byte
 }
 
-// Reader reads the platform.
-type Reader struct{}
+// Reader reads the platform. Its methods may be called concurrently.
+type Reader struct {
+	options Options
+	address string
+	prefix  string
+}
 
 // NewReader returns a reader, or an error if the base address is not valid.
-func NewReader(options Options) (*Reader, error) { return &Reader{}, nil }
+func NewReader(options Options) (*Reader, error) {
+	base, err := url.Parse(options.Base)
+	if err != nil {
+		return nil, eris.Wrap(err, "parsing the base address of the platform")
+	}
+	if base.Scheme != "http" || base.Port() == "" || base.RawQuery != "" {
+		return nil, eris.Errorf("the base address of the platform must be http://IP:port, not %q", options.Base)
+	}
+	return &Reader{
+		options: options.withDefaults(),
+		address: base.Host,
+		prefix:  strings.TrimSuffix(base.EscapedPath(), "/"),
+	}, nil
+}
 
 // Config reads the configuration once.
-func (r *Reader) Config(ctx context.Context) (Config, error) { return Config{}, nil }
+func (r *Reader) Config(ctx context.Context) (Config, error) {
+	found, err := r.read(ctx, pathConfig)
+	if err != nil {
+		return Config{}, err
+	}
+	return Config{Revision: found.revision, Value: found.value}, nil
+}
 
 // List reads the list of processes once.
-func (r *Reader) List(ctx context.Context) (fleet.Listing, error) { return fleet.Listing{}, nil }
+func (r *Reader) List(ctx context.Context) (fleet.Listing, error) {
+	found, err := r.read(ctx, pathList)
+	if err != nil {
+		return fleet.Listing{}, err
+	}
+	return decodeList(found.value)
+}
+
+// read reads a value once, on a connection of its own.
+func (r *Reader) read(ctx context.Context, path string) (answer, error) {
+	link := r.newLink()
+	defer link.close()
+	found, err := link.get(ctx, r.prefix+path, 0)
+	if err == nil && !found.changed {
+		return found, &Error{Fault: Invalid, cause: eris.New("304 without a watch")}
+	}
+	return found, err
+}
+
+func (r *Reader) newLink() *link {
+	return &link{address: r.address, clock: r.options.Clock, timeout: r.options.Timeout}
+}
+
+// watchURI returns the URI of a watch for a revision after the given one, or
+// that of a plain read if it is zero.
+func (r *Reader) watchURI(path string, after fleet.Revision, wait time.Duration) string {
+	if after == 0 {
+		return r.prefix + path
+	}
+	return r.prefix + path + "?after=" + strconv.FormatUint(uint64(after), 10) + "&wait=" + wait.String()
+}
+
+// decodeList decodes the list of processes.
+func decodeList(value []byte) (fleet.Listing, error) {
+	var listing fleet.Listing
+	if err := json.Unmarshal(value, &listing); err != nil {
+		return fleet.Listing{}, &Error{Fault: Invalid, cause: err}
+	}
+	return listing, nil
+}
--- /dev/null
+++ b/io/platform/watcher_test.go
@@ -0,0 +1,245 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"galenaridge/core/fleet"
+	"galenaridge/io/journal"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakePlatform holds watches until the revision changes.
+type fakePlatform struct {
+	mu       sync.Mutex
+	revision uint64
+	status   int
+	list     string
+	changed  chan struct{}
+	calls    []string
+}
+
+func (f *fakePlatform) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	f.calls = append(f.calls, r.URL.String())
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	changed := f.changed
+	held := after >= f.revision && f.status == 0
+	f.mu.Unlock()
+	if held && wait > 0 {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-r.Context().Done():
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.Header().Set("Platform-Revision", strconv.FormatUint(f.revision, 10))
+	switch {
+	case f.status != 0:
+		w.WriteHeader(f.status)
+	case after >= f.revision:
+		w.WriteHeader(http.StatusNotModified)
+	case r.URL.Path == "/base/v1/list":
+		fmt.Fprintf(w, f.list, f.revision)
+	default:
+		fmt.Fprintf(w, "version: %d\n", f.revision)
+	}
+}
+
+// sink keeps what a watcher reads.
+type sink struct {
+	configs chan Config
+	lists   chan fleet.Listing
+}
+
+func (s *sink) ConfigRead(value Config) { s.configs <- value }
+
+func (s *sink) ListRead(listing fleet.Listing) { s.lists <- listing }
+
+// half is a Random that is always in the middle.
+type half struct{}
+
+func (half) Float64() float64 { return 0.5 }
+
+const oneServer = `{"revision":%d,"servers":[{"id":"s1","service":"svc","presence":"leaving"}]}`
+
+func newFake(t *testing.T) (*fakePlatform, Options, *bytes.Buffer) {
+	t.Helper()
+	fake := &fakePlatform{revision: 5, list: oneServer, changed: make(chan struct{})}
+	server := httptest.NewServer(fake)
+	t.Cleanup(server.Close)
+	out := &bytes.Buffer{}
+	return fake, Options{
+		Base: server.URL + "/base", Clock: clockwork.NewRealClock(), Random: half{},
+		Log: journal.New(out, logrus.InfoLevel), ListWait: 50 * time.Millisecond,
+	}, out
+}
+
+// run runs a watcher until the returned function is called.
+func run(w *Watcher) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { w.Run(ctx) })
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// TestReader guards against errors of the platform that pass as values.
+func TestReader(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *fakePlatform)
+		config bool
+		list   bool
+		fault  Fault
+	}{
+		{"values", func(*fakePlatform) {}, true, true, 0},
+		{"error status", func(f *fakePlatform) { f.status = 500 }, false, false, Rejected},
+		{"bad list", func(f *fakePlatform) { f.list = `{"revision":%d,"servers":[{"presence":"maybe"}]}` }, true, false, Invalid},
+		{"no value", func(f *fakePlatform) { f.revision = 0 }, false, false, Invalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			fake, options, _ := newFake(t)
+			tt.change(fake)
+			reader, err := NewReader(options)
+			require.NoError(t, err)
+			config, err := reader.Config(context.Background())
+			require.Equal(t, tt.config, err == nil, "%v", err)
+			if tt.config {
+				require.Equal(t, Config{Revision: 5, Value: []byte("version: 5\n")}, config)
+			}
+			list, err := reader.List(context.Background())
+			require.Equal(t, tt.list, err == nil, "%v", err)
+			if tt.list {
+				require.Equal(t, fleet.Leaving, list.Servers[0].Presence)
+				return
+			}
+			require.True(t, IsFault(err, tt.fault), "%v", err)
+		})
+	}
+}
+
+// TestNewReader guards against settings that would fail only later.
+func TestNewReader(t *testing.T) {
+	for _, base := range []string{"", "127.0.0.1:80", "https://127.0.0.1:80", "http://127.0.0.1", "http://127.0.0.1:1?x=1"} {
+		_, err := NewReader(Options{Base: base})
+		require.Error(t, err, base)
+	}
+}
+
+// TestWatcher guards against changes that are missed or seen late, and
+// against calls while the watcher is off.
+func TestWatcher(t *testing.T) {
+	fake, options, _ := newFake(t)
+	got := &sink{make(chan Config, 10), make(chan fleet.Listing, 10)}
+	w, err := NewWatcher(options, got)
+	require.NoError(t, err)
+	stop := run(w)
+	defer stop()
+	time.Sleep(20 * time.Millisecond)
+	fake.set(func() { require.Empty(t, fake.calls) })
+	w.Enable(true)
+	require.Equal(t, fleet.Revision(5), (<-got.configs).Revision)
+	require.Equal(t, fleet.Revision(5), (<-got.lists).Revision)
+	// The next calls follow after the least spacing.
+	time.Sleep(configSpacing + 50*time.Millisecond)
+	changed := time.Now()
+	fake.set(func() { fake.revision = 6 })
+	require.Equal(t, fleet.Revision(6), (<-got.configs).Revision)
+	require.Less(t, time.Since(changed), configSpacing)
+	require.Equal(t, fleet.Revision(6), (<-got.lists).Revision)
+	// A platform that went back is followed, so that its next change is seen.
+	fake.set(func() { fake.revision = 4 })
+	require.Equal(t, fleet.Revision(4), (<-got.lists).Revision)
+	_, failing := w.FailingSince()
+	require.False(t, failing)
+	w.Enable(false)
+	time.Sleep(20 * time.Millisecond)
+	var calls int
+	fake.set(func() { calls = len(fake.calls) })
+	require.Less(t, calls, 12)
+	time.Sleep(1100 * time.Millisecond)
+	fake.set(func() { require.Len(t, fake.calls, calls) })
+	stopped := time.Now()
+	stop()
+	require.Less(t, time.Since(stopped), time.Second)
+}
+
+// TestWatcherFailing guards against a failing platform that is not reported,
+// called too often, or logged for each call.
+func TestWatcherFailing(t *testing.T) {
+	fake, options, out := newFake(t)
+	fake.status = 503
+	got := &sink{make(chan Config, 10), make(chan fleet.Listing, 10)}
+	w, err := NewWatcher(options, got)
+	require.NoError(t, err)
+	stop := run(w)
+	before := time.Now()
+	w.Enable(true)
+	time.Sleep(time.Second)
+	since, failing := w.FailingSince()
+	require.True(t, failing)
+	require.WithinRange(t, since, before, before.Add(500*time.Millisecond))
+	// Waits of 75, 150, 300 and 600 ms leave four calls of each kind.
+	fake.set(func() {
+		require.LessOrEqual(t, len(fake.calls), 8)
+		fake.status = 0
+	})
+	<-got.configs
+	<-got.lists
+	require.Eventually(t, func() bool {
+		_, failing := w.FailingSince()
+		return !failing
+	}, time.Second, 5*time.Millisecond)
+	stop()
+	require.Equal(t, 2, strings.Count(out.String(), " failed"), out)
+	require.Equal(t, 2, strings.Count(out.String(), "works again"), out)
+}
+
+// TestWatcherSilent guards against a platform that accepts calls and never
+// answers, and against its error that differs between calls.
+func TestWatcherSilent(t *testing.T) {
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer silent.Close()
+	_, options, out := newFake(t)
+	options.Base = silent.URL
+	options.Timeout = 50 * time.Millisecond
+	w, err := NewWatcher(options, &sink{})
+	require.NoError(t, err)
+	stop := run(w)
+	w.Enable(true)
+	time.Sleep(400 * time.Millisecond)
+	_, failing := w.FailingSince()
+	require.True(t, failing)
+	stop()
+	require.Equal(t, 2, strings.Count(out.String(), " failed"), out)
+}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"galenaridge/core/exchange"
+	"galenaridge/io/http1"
 )
 
 // keptBuffer is the largest request buffer in bytes that a connection keeps
@@ -94,7 +95,7 @@
 	decoded := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(decoded)
 	decoded.SkipBody = attempt.Request.Method == fasthttp.MethodHead
-	if err := readResponse(decoded, c.reader, options.Body); err != nil {
+	if err := http1.ReadResponse(decoded, c.reader, options.Body); err != nil {
 		return none, c.readFault(ctx, err)
 	}
 	if decoded.ConnectionClose() || c.reader.Buffered() > 0 {
--- a/io/upstream/message.go
+++ b/io/upstream/message.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
+	"galenaridge/io/http1"
 )
 
 // Headers of the protocol between instances and servers.
@@ -21,9 +21,6 @@
 	headerDraining = "Upstream-Draining"
 )
 
-// maxInterim is the largest number of 1xx responses before a final one.
-const maxInterim = 8
-
 // hopHeaders are the headers that concern one connection, in lower case.
 // Content-Length and Host are set anew for each hop.
 var hopHeaders = map[string]bool{
@@ -144,54 +141,10 @@
 	return part != ""
 }
 
-// readResponse reads one whole response. A response that ends with the
-// connection is an error, because a broken connection would look the same.
-func readResponse(response *fasthttp.Response, reader *bufio.Reader, body int) error {
-	header := &response.Header
-	header.SetNoDefaultContentType(true)
-	for interim := 0; ; interim++ {
-		if err := header.Read(reader); err != nil {
-			return err
-		}
-		if status := header.StatusCode(); status >= 200 && status <= 599 {
-			break
-		}
-		if header.StatusCode() < 100 || header.StatusCode() == fasthttp.StatusSwitchingProtocols {
-			return eris.Errorf("unexpected status %d", header.StatusCode())
-		}
-		if interim >= maxInterim {
-			return eris.New("too many interim responses")
-		}
-	}
-	if response.SkipBody || noBody(header.StatusCode()) {
-		return nil
-	}
-	const (
-		chunked    = -1
-		unfinished = -2
-	)
-	length := header.ContentLength()
-	if length == unfinished {
-		return eris.New("the end of the body is not marked")
-	}
-	if err := response.ReadBody(reader, body); err != nil {
-		return err
-	}
-	if length == chunked {
-		return header.ReadTrailer(reader)
-	}
-	return nil
-}
-
-// noBody reports whether responses of a status have no body.
-func noBody(status int) bool {
-	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
-
 // copyResponse copies a decoded response out of the buffers of fasthttp.
 func copyResponse(decoded *fasthttp.Response) exchange.Response {
 	response := exchange.Response{Outcome: fleet.Done, Status: decoded.StatusCode()}
-	if !decoded.SkipBody && !noBody(decoded.StatusCode()) {
+	if !decoded.SkipBody && !http1.NoBody(decoded.StatusCode()) {
 		response.Body = append([]byte(nil), decoded.Body()...)
 	}
 	var listed []string
