--- a/core/traffic/engine.go
+++ b/core/traffic/engine.go
@@ -78,7 +78,7 @@
 	e.archives.Range(func(home, archive any) bool {
 		a := archive.(*once.Archive)
 		a.Sweep(now, limit)
-		if a.Expired(now) {
+		if a.Obsolete(now) {
 			e.archives.Delete(home)
 		}
 		return true
--- a/core/traffic/queries.go
+++ b/core/traffic/queries.go
@@ -1,20 +1,17 @@
 package traffic
 
-import (
-	"galenaridge/core/once"
-)
-
 // Stopping reports whether callers should move to other instances.
 func (e *Engine) Stopping() bool { return e.stopping.Load() }
 
 // InFlight counts the requests that this instance works on.
 func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
 
-// RecordCounts counts the records of this incarnation and those of ended ones.
-func (e *Engine) RecordCounts() (held, inherited int) {
-	e.archives.Range(func(_, archive any) bool {
-		inherited += archive.(*once.Archive).Len()
+// RecordCounts counts the records of this incarnation, and the ended
+// incarnations whose records this instance answers from.
+func (e *Engine) RecordCounts() (held, archives int) {
+	e.archives.Range(func(_, _ any) bool {
+		archives++
 		return true
 	})
-	return e.ledger.Load().Len(), inherited
+	return e.ledger.Load().Len(), archives
 }
--- a/core/traffic/run.go
+++ b/core/traffic/run.go
@@ -118,7 +118,7 @@
 }
 
 // hopCost prefers owners in the same failure domain while their load is alike.
-func hopCost(owner control.Owner, self member.Record) float64 {
+func hopCost(owner control.Owner, self member.Info) float64 {
 	if owner.Domain == self.Domain {
 		return 0
 	}
@@ -130,7 +130,7 @@
 const otherDomainCost = 0.25
 
 // anyOwner returns the first owner, from a random start, that can be tried.
-func (e *Engine) anyOwner(service *control.Service, self member.Record, tried []fleet.InstanceID, now time.Time) (control.Owner, bool) {
+func (e *Engine) anyOwner(service *control.Service, self member.Info, tried []fleet.InstanceID, now time.Time) (control.Owner, bool) {
 	count := len(service.Owners)
 	if count == 0 {
 		return control.Owner{}, false
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,216 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"galenaridge/core/control"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/floor"
+	"galenaridge/core/member"
+	"galenaridge/core/once"
+	"galenaridge/core/ownership"
+	"galenaridge/io/document"
+	"galenaridge/io/peer/peerpb"
+)
+
+// Control answers control messages.
+type Control interface {
+	View() *control.View
+	Heartbeat(ctx context.Context, message member.Heartbeat, age control.PlatformAge) (member.HeartbeatReply, control.PlatformAge, error)
+	Sync(ctx context.Context, message member.SyncRequest) (member.SyncReply, error)
+	Fence(ctx context.Context, message member.FenceRequest) (member.FenceReply, error)
+	Claim(ctx context.Context, message ownership.Claim) (ownership.ClaimReply, error)
+	Report(ctx context.Context, service fleet.ServiceName, report floor.Report) (floor.Reply, error)
+}
+
+// Traffic answers requests of callers that other instances pass on.
+type Traffic interface {
+	Execute(ctx context.Context, request exchange.Request) exchange.Response
+	Submit(ctx context.Context, token once.Token, request exchange.Request) (exchange.Response, bool)
+	Mint(service fleet.ServiceName) (once.Token, error)
+	Import(handover once.Handover)
+}
+
+// Prober reaches servers from this instance.
+type Prober interface {
+	Reachable(ctx context.Context, server fleet.ListedServer) bool
+}
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	Control Control
+	Traffic Traffic
+	Prober  Prober
+	Clock   fleet.Clock
+}
+
+// Server answers other instances.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+	options ServerOptions
+	grpc    *grpc.Server
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(options ServerOptions) *Server {
+	s := &Server{
+		options: options,
+		grpc:    grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage)),
+	}
+	peerpb.RegisterPeerServer(s.grpc, s)
+	return s
+}
+
+// Serve answers on the listener until Stop.
+func (s *Server) Serve(listener net.Listener) error { return s.grpc.Serve(listener) }
+
+// Stop waits until calls in flight have ended, or until the context ends.
+func (s *Server) Stop(ctx context.Context) {
+	cancel := context.AfterFunc(ctx, s.grpc.Stop)
+	defer cancel()
+	s.grpc.GracefulStop()
+}
+
+// Heartbeat implements peerpb.PeerServer.
+func (s *Server) Heartbeat(ctx context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
+	news, age := fromNews(in.GetNews())
+	message := member.Heartbeat{From: fromID(in.GetFrom()), Panel: member.Panel(in.GetPanel()), News: news}
+	reply, ownAge, err := s.options.Control.Heartbeat(ctx, message, control.PlatformAge(age))
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &peerpb.HeartbeatReply{
+		From:         toID(reply.From),
+		Acknowledged: reply.Acknowledged,
+		Fenced:       reply.Fenced,
+		News:         toNews(reply.News, time.Duration(ownAge)),
+	}, nil
+}
+
+// Sync implements peerpb.PeerServer.
+func (s *Server) Sync(ctx context.Context, in *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	reply, err := s.options.Control.Sync(ctx, member.SyncRequest{
+		From:    fromID(in.GetFrom()),
+		Records: fromRecords(in.GetRecords()),
+	})
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &peerpb.SyncReply{Records: toRecords(reply.Records)}, nil
+}
+
+// Fence implements peerpb.PeerServer.
+func (s *Server) Fence(ctx context.Context, in *peerpb.FenceRequest) (*peerpb.FenceReply, error) {
+	reply, err := s.options.Control.Fence(ctx, member.FenceRequest{
+		From:   fromID(in.GetFrom()),
+		Target: fromID(in.GetTarget()),
+		Panel:  member.Panel(in.GetPanel()),
+	})
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &peerpb.FenceReply{
+		From:    toID(reply.From),
+		Granted: reply.Granted,
+		Record:  toRecord(reply.Record),
+	}, nil
+}
+
+// Claim implements peerpb.PeerServer.
+func (s *Server) Claim(ctx context.Context, in *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	reply, err := s.options.Control.Claim(ctx, fromClaim(in))
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return toClaimReply(reply), nil
+}
+
+// Permit implements peerpb.PeerServer.
+func (s *Server) Permit(ctx context.Context, in *peerpb.PermitRequest) (*peerpb.PermitReply, error) {
+	reply, err := s.options.Control.Report(ctx, fleet.ServiceName(in.GetService()), fromReport(in))
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return toFloorReply(reply), nil
+}
+
+// Probe implements peerpb.PeerServer.
+func (s *Server) Probe(ctx context.Context, in *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	reachable := s.options.Prober.Reachable(ctx, fleet.ListedServer{
+		ID:      fleet.ServerID(in.GetServer()),
+		Service: fleet.ServiceName(in.GetService()),
+		Address: fleet.Address(in.GetAddress()),
+	})
+	return &peerpb.ProbeReply{Reachable: reachable}, nil
+}
+
+// Fetch implements peerpb.PeerServer.
+func (s *Server) Fetch(_ context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	view := s.options.Control.View()
+	reply := &peerpb.FetchReply{Version: uint64(view.Config.Version()), Digest: string(view.Config.Digest())}
+	if view.Config.Ready() && in.GetKnownVersion() < reply.GetVersion() {
+		encoded, err := document.EncodeConfig(view.Config.Document(), nil)
+		if err != nil {
+			return nil, status.Error(codes.Internal, err.Error())
+		}
+		reply.Document = encoded
+	}
+	if in.GetKnownRevision() < uint64(view.Listing.Revision) {
+		encoded, err := json.Marshal(view.Listing)
+		if err != nil {
+			return nil, status.Error(codes.Internal, err.Error())
+		}
+		reply.Listing = encoded
+	}
+	return reply, nil
+}
+
+// Mint implements peerpb.PeerServer.
+func (s *Server) Mint(_ context.Context, in *peerpb.MintRequest) (*peerpb.MintReply, error) {
+	token, err := s.options.Traffic.Mint(fleet.ServiceName(in.GetService()))
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &peerpb.MintReply{Token: string(token)}, nil
+}
+
+// Submit implements peerpb.PeerServer.
+func (s *Server) Submit(ctx context.Context, in *peerpb.SubmitRequest) (*peerpb.ExecuteReply, error) {
+	request := fromRequest(in.GetRequest(), s.deadline(ctx))
+	response, answered := s.options.Traffic.Submit(ctx, once.Token(in.GetToken()), request)
+	if !answered {
+		response = exchange.Refuse(exchange.HomeLost, "this instance does not hold the records of the home")
+	}
+	return toResponse(response), nil
+}
+
+// Execute implements peerpb.PeerServer.
+func (s *Server) Execute(ctx context.Context, in *peerpb.ExecuteRequest) (*peerpb.ExecuteReply, error) {
+	return toResponse(s.options.Traffic.Execute(ctx, fromRequest(in, s.deadline(ctx)))), nil
+}
+
+// Handover implements peerpb.PeerServer.
+func (s *Server) Handover(_ context.Context, in *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	s.options.Traffic.Import(fromHandover(in))
+	return &peerpb.HandoverReply{Accepted: true}, nil
+}
+
+// defaultDeadline bounds a request whose sender gave no deadline.
+const defaultDeadline = 5 * time.Second
+
+func (s *Server) deadline(ctx context.Context) time.Time {
+	if deadline, set := ctx.Deadline(); set {
+		return deadline
+	}
+	return s.options.Clock.Now().Add(defaultDeadline)
+}
+
+func unavailable(err error) error { return status.Error(codes.Unavailable, err.Error()) }
--- /dev/null
+++ b/io/process/adapters.go
@@ -0,0 +1,232 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"galenaridge/core/config"
+	"galenaridge/core/control"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/member"
+	"galenaridge/core/once"
+	"galenaridge/core/traffic"
+	"galenaridge/io/caller"
+	"galenaridge/io/document"
+	"galenaridge/io/platform"
+	"galenaridge/io/upstream"
+)
+
+// tickingClock gives the control goroutine its ticks.
+type tickingClock struct{ clockwork.Clock }
+
+// NewTicker implements control.Clock.
+func (c tickingClock) NewTicker(every time.Duration) (<-chan time.Time, func()) {
+	ticker := c.Clock.NewTicker(every)
+	return ticker.Chan(), ticker.Stop
+}
+
+// sender lets traffic send through the client to servers.
+type sender struct{ client *upstream.Client }
+
+// permission asks a function for the right to write.
+type permission func() bool
+
+// MayWrite implements upstream.Permission.
+func (p permission) MayWrite() bool { return p() }
+
+// Send implements traffic.Sender.
+func (s sender) Send(ctx context.Context, attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	response, evidence := s.client.Do(ctx, upstream.Attempt{
+		Server:     attempt.Server,
+		Slot:       attempt.Slot,
+		Request:    attempt.Request,
+		Permission: permission(attempt.MayWrite),
+		Deadline:   attempt.Deadline,
+	})
+	return response, traffic.Evidence{
+		Written:  evidence.Progress != upstream.Unwritten,
+		Complete: evidence.Progress == upstream.Complete,
+		Refused:  evidence.Refused,
+		TimedOut: upstream.IsFault(evidence.Err, upstream.TimedOut),
+		Canceled: upstream.IsFault(evidence.Err, upstream.Canceled),
+		Draining: evidence.Draining,
+	}
+}
+
+// prober lets control reach servers through the client to servers.
+type prober struct{ client *upstream.Client }
+
+// Reachable implements control.Prober.
+func (p *prober) Reachable(ctx context.Context, server fleet.ListedServer) bool {
+	_, err := p.client.Probe(ctx, server)
+	return err == nil
+}
+
+// Forget implements control.Prober.
+func (p *prober) Forget(server fleet.ServerID) { p.client.Forget(server) }
+
+// EndIdle implements control.Prober.
+func (p *prober) EndIdle() { p.client.EndIdle() }
+
+// frontEnd lets callers reach the traffic engine.
+type frontEnd struct {
+	control *control.Loop
+	engine  *traffic.Engine
+}
+
+// Serve implements caller.Handler.
+func (f frontEnd) Serve(ctx context.Context, request exchange.Request, token string) caller.Result {
+	result := f.engine.Serve(ctx, request, once.Token(token))
+	return caller.Result{Response: result.Response, Token: string(result.Token), Key: result.Key}
+}
+
+// assignTimeout bounds the answer to a caller that asks where to connect.
+const assignTimeout = time.Second
+
+// Assign implements caller.Assigner.
+func (f frontEnd) Assign(service fleet.ServiceName, domain fleet.Domain) (caller.Assignment, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), assignTimeout)
+	defer cancel()
+	assignment, refusal := f.engine.Assign(ctx, service, domain)
+	if refusal.Refused() {
+		return caller.Assignment{}, &caller.Refusal{Response: refusal}
+	}
+	places := make([]caller.Place, 0, len(assignment.Places))
+	for _, place := range assignment.Places {
+		places = append(places, caller.Place{Address: place.Address, Domain: place.Domain})
+	}
+	return caller.Assignment{
+		Service:   assignment.Service,
+		Version:   assignment.Version,
+		Addresses: places,
+		TTL:       assignment.Life,
+		Token:     string(assignment.Token),
+		TokenTTL:  assignment.TokenFor,
+	}, nil
+}
+
+// Deadline implements caller.Policy.
+func (f frontEnd) Deadline(service fleet.ServiceName) (time.Duration, bool) {
+	configured, known := f.control.View().Config.Service(service)
+	return configured.Deadline, known
+}
+
+// Class implements caller.Policy.
+func (f frontEnd) Class(tenant fleet.Tenant) (fleet.Class, bool) {
+	found := f.control.View().Config.Tenant(tenant)
+	return found.Class, found.Name == tenant
+}
+
+// Limits implements caller.Policy.
+func (f frontEnd) Limits() config.Limits { return f.control.View().Config.Document().Limits }
+
+// watchers switches the watches of all addresses of the platform.
+type watchers []*platform.Watcher
+
+// Enable implements control.Watch.
+func (w watchers) Enable(on bool) {
+	for _, one := range w {
+		one.Enable(on)
+	}
+}
+
+// reading reports whether the latest calls to an address succeeded.
+func (w watchers) reading() bool {
+	for _, one := range w {
+		if _, failing := one.FailingSince(); !failing {
+			return true
+		}
+	}
+	return false
+}
+
+// sink hands on what the watchers read.
+type sink struct{ process *Process }
+
+// offerTimeout bounds the wait for the control goroutine.
+const offerTimeout = time.Second
+
+// ConfigRead implements platform.Sink. A document that cannot be decoded is
+// refused; the one in force stays.
+func (s *sink) ConfigRead(value platform.Config) {
+	decoded, err := document.DecodeConfig("configuration of the platform", value.Value)
+	if err != nil {
+		s.process.options.Log.WithError(err).WithField("revision", value.Revision).
+			Error("configuration refused; the one in force stays")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+	defer cancel()
+	_, _ = s.process.control.OfferConfig(ctx, decoded)
+}
+
+// ListRead implements platform.Sink.
+func (s *sink) ListRead(listing fleet.Listing) {
+	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+	defer cancel()
+	_ = s.process.control.OfferListing(ctx, listing)
+}
+
+// events logs what happens in the control state.
+type events struct {
+	process *Process
+	log     *logrus.Logger
+}
+
+// Member implements control.Events.
+func (e *events) Member(event member.Event) {
+	switch event.Kind {
+	case member.ConfigNewer:
+		return
+	case member.ConfigConflict:
+		e.log.WithField("peer", event.Member.String()).Error("peer has another configuration of the same version")
+	default:
+		e.log.WithField("peer", event.Member.String()).Info("member " + event.Kind.String())
+	}
+}
+
+// Rejoined implements control.Events.
+func (e *events) Rejoined(self fleet.Member) {
+	e.log.WithField("incarnation", self.String()).Warn("lease lost for good; joined again as a new incarnation")
+	if err := e.process.engine.Rejoin(self); err != nil {
+		e.log.WithError(err).Error("at-most-once records of the new incarnation cannot start")
+	}
+}
+
+// Condition implements control.Events.
+func (e *events) Condition(change control.ConditionChange) {
+	e.log.WithFields(logrus.Fields{
+		"service": change.Service,
+		"server":  change.After.Server,
+		"before":  change.Before.String(),
+		"after":   change.After.Condition.String(),
+		"reason":  change.After.Reason.String(),
+	}).Info("server condition changed")
+}
+
+// Config implements control.Events.
+func (e *events) Config(decision config.Decision, version fleet.Version) {
+	entry := e.log.WithField("version", version)
+	switch decision.Verdict {
+	case config.Adopted:
+		entry.Info("configuration in force")
+	case config.Invalid, config.Conflict:
+		entry.WithError(decision.Reason).Error("configuration refused; the one in force stays")
+	case config.Older:
+		entry.Warn("older configuration ignored")
+	default:
+	}
+}
+
+// Ownership implements control.Events.
+func (e *events) Ownership(acquired, stopped, lost []fleet.Resource) {
+	e.log.WithFields(logrus.Fields{
+		"acquired": acquired,
+		"stopped":  stopped,
+		"lost":     lost,
+	}).Info("ownership changed")
+}
