--- a/cmd/main_test.go
+++ b/cmd/main_test.go
@@ -14,6 +14,7 @@
 		code int
 	}{
 		{"version", []string{"galenaridge", "version"}, 0},
+		{"show without an instance", []string{"galenaridge", "show", "--operator", "127.0.0.1:1"}, exitFailure},
 		{"unknown flag", []string{"galenaridge", "version", "--nope"}, exitFailure},
 	}
 	for _, tt := range tests {
