--- a/cmd/main.go
+++ b/cmd/main.go
@@ -37,7 +37,12 @@
 		Usage:                 "a proxy fleet for upstreams that fail partially",
 		EnableShellCompletion: true,
 		Version:               version,
-		Commands:              []*cli.Command{versionCommand()},
+		Commands: []*cli.Command{
+			checkCommand(),
+			generateCommand(),
+			questionnaireCommand(),
+			versionCommand(),
+		},
 	}
 	err := root.Run(ctx, args)
 	if err == nil {
