--- a/cmd/main.go
+++ b/cmd/main.go
@@ -37,7 +37,14 @@
 		Usage:                 "a proxy fleet for upstreams that fail partially",
 		EnableShellCompletion: true,
 		Version:               version,
-		Commands:              []*cli.Command{showCommand(), versionCommand()},
+		Commands: []*cli.Command{
+			serveCommand(),
+			showCommand(),
+			questionnaireCommand(),
+			generateCommand(),
+			checkCommand(),
+			versionCommand(),
+		},
 	}
 	err := root.Run(ctx, args)
 	if err == nil {
