--- a/standin/harness/main_test.go
+++ b/standin/harness/main_test.go
@@ -57,15 +57,17 @@
 		return 1
 	}
 	var settings struct {
-		ID       string            `yaml:"id"`
-		Domain   string            `yaml:"domain"`
-		Caller   string            `yaml:"caller"`
-		Peer     string            `yaml:"peer"`
-		Operator string            `yaml:"operator"`
+		ID     string `yaml:"id"`
+		Domain string `yaml:"domain"`
+		Listen struct {
+			Caller   string `yaml:"caller"`
+			Peer     string `yaml:"peer"`
+			Operator string `yaml:"operator"`
+		} `yaml:"listen"`
 		Platform []string          `yaml:"platform"`
 		Seeds    []string          `yaml:"seeds"`
 		Via      map[string]string `yaml:"via"`
-		Log      map[string]string `yaml:"log"`
+		Log      string            `yaml:"log"`
 	}
 	if err := yaml.UnmarshalWithOptions(text, &settings, yaml.Strict()); err != nil {
 		fmt.Println(err)
@@ -74,7 +76,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(text) })
-	for _, address := range []string{settings.Caller, settings.Peer, settings.Operator} {
+	for _, address := range []string{settings.Listen.Caller, settings.Listen.Peer, settings.Listen.Operator} {
 		go func() { fmt.Println(http.ListenAndServe(address, mux)) }()
 	}
 	stop := make(chan os.Signal, 1)
--- a/standin/harness/settings.go
+++ b/standin/harness/settings.go
@@ -13,17 +13,17 @@
 type settings struct {
 	ID       fleet.InstanceID                `yaml:"id"`
 	Domain   fleet.Domain                    `yaml:"domain"`
-	Caller   fleet.Address                   `yaml:"caller"`
-	Peer     fleet.Address                   `yaml:"peer"`
-	Operator fleet.Address                   `yaml:"operator"`
+	Listen   listen                          `yaml:"listen"`
 	Platform []string                        `yaml:"platform"`
 	Seeds    []fleet.Address                 `yaml:"seeds"`
 	Via      map[fleet.Address]fleet.Address `yaml:"via"`
-	Log      logSettings                     `yaml:"log"`
+	Log      string                          `yaml:"log"`
 }
 
-type logSettings struct {
-	Level string `yaml:"level"`
+type listen struct {
+	Caller   fleet.Address `yaml:"caller"`
+	Peer     fleet.Address `yaml:"peer"`
+	Operator fleet.Address `yaml:"operator"`
 }
 
 // settings returns the settings of a slot whose process has the id.
@@ -35,13 +35,11 @@
 	return settings{
 		ID:       id,
 		Domain:   p.domain,
-		Caller:   p.caller,
-		Peer:     p.peer,
-		Operator: p.operator,
+		Listen:   listen{Caller: p.caller, Peer: p.peer, Operator: p.operator},
 		Platform: []string{"http://" + string(l.platformOf(p, opened))},
 		Seeds:    l.seeds(p.slot),
 		Via:      l.via(p, opened),
-		Log:      logSettings{Level: level},
+		Log:      level,
 	}
 }
 
