--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -228,7 +229,7 @@
 			_, err := l.Mint(start, service)
 			require.ErrorIs(t, err, ErrEnded)
 			require.Equal(t, exchange.Stopping, l.Begin(start, absent).Response.Code)
-			batches := l.Archive().Export(start, 1)
+			batches := l.Archive().Export(start, BatchLimit{Records: 1, Bytes: 1000})
 			require.Len(t, batches, 2)
 			if batches[0].Records[0].Key != "done" {
 				batches[0].Records, batches[1].Records = batches[1].Records, batches[0].Records
@@ -249,6 +250,37 @@
 	}
 }
 
+// TestExportBatches guards against batches that do not fit one message.
+func TestExportBatches(t *testing.T) {
+	tests := []struct {
+		name    string
+		limit   BatchLimit
+		batches int
+	}{
+		{"all in one", BatchLimit{Records: 10, Bytes: 1000}, 1},
+		{"by records", BatchLimit{Records: 2, Bytes: 1000}, 3},
+		{"by bytes", BatchLimit{Records: 10, Bytes: 45}, 2},
+		{"one record above the limit", BatchLimit{Records: 10, Bytes: 1}, 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newTestLedger(t, nil)
+			for range 5 {
+				l.Finish(start, l.Begin(start, newArrival(t, l, start, "k")).Ticket, done("fifteen bytes.."))
+			}
+			l.End(start)
+			successor := NewArchive(home)
+			batches := l.Archive().Export(start, tt.limit)
+			require.Len(t, batches, tt.batches)
+			for _, b := range batches {
+				successor.Import(start, b)
+			}
+			require.Equal(t, 5, successor.Len())
+			require.Equal(t, int64(75), successor.Memory())
+		})
+	}
+}
+
 // TestConcurrentArrivals guards against two starts of one key when its
 // duplicates arrive at the same moment as End and Sweep.
 func TestConcurrentArrivals(t *testing.T) {
@@ -276,3 +308,18 @@
 	group.Wait()
 	require.LessOrEqual(t, starts.Load(), int32(1))
 }
+
+// BenchmarkLedger measures one protected request from Begin to Finish.
+func BenchmarkLedger(b *testing.B) {
+	l := newTestLedger(b, func(o *Options) { o.Records, o.Memory = 1<<30, 1<<40 })
+	token, err := l.Mint(start, service)
+	require.NoError(b, err)
+	b.ReportAllocs()
+	n := atomic.Int64{}
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			a := Arrival{Token: token, Key: fleet.Key(strconv.FormatInt(n.Add(1), 10)), Service: service, Fingerprint: Fingerprint{1}}
+			l.Finish(start, l.Begin(start, a).Ticket, done("ok"))
+		}
+	})
+}
--- a/core/once/property_test.go
+++ b/core/once/property_test.go
@@ -127,7 +127,7 @@
 		last = m.chain[0]
 	}
 	successor := NewArchive(home)
-	batches := last.Export(m.now, 2)
+	batches := last.Export(m.now, BatchLimit{Records: 2, Bytes: 1000})
 	m.advance(t)
 	for _, batch := range batches {
 		if rapid.IntRange(0, 2).Draw(t, "lost") > 0 {
--- a/core/once/queries.go
+++ b/core/once/queries.go
@@ -15,7 +15,7 @@
 
 // Memory counts the bytes of response bodies and headers held.
 func (l *Ledger) Memory() int64 {
-	return l.table.usage.bodies.Load() + l.table.usage.headers.Load()
+	return l.table.usage.memory()
 }
 
 // Archive returns the records for reading after End; nil before it.
@@ -71,9 +71,37 @@
 	return refuse(exchange.Stopping, "the home of the token stopped before the request arrived")
 }
 
-// Export returns all records in batches of at most size records, at least one
-// batch. Requests that are still running are exported as unknown.
-func (a *Archive) Export(now time.Time, size int) []Handover {
+// Len counts the records held, so that a successor can bound what it accepts.
+func (a *Archive) Len() int {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.origin.table == nil {
+		return 0
+	}
+	return int(a.origin.table.usage.records.Load())
+}
+
+// Memory counts the bytes of response bodies and headers held.
+func (a *Archive) Memory() int64 {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.origin.table == nil {
+		return 0
+	}
+	return a.origin.table.usage.memory()
+}
+
+// BatchLimit bounds one batch of a handover. A batch holds at least one
+// record, so a single record may pass Bytes.
+type BatchLimit struct {
+	Records int
+	// Bytes counts response bodies and headers.
+	Bytes int64
+}
+
+// Export returns all records in batches, at least one batch. Requests that
+// are still running are exported as unknown.
+func (a *Archive) Export(now time.Time, limit BatchLimit) []Handover {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
 	if a.origin.table == nil {
@@ -84,7 +112,7 @@
 	for i := range a.origin.table.shards {
 		records, elapsed = a.origin.table.shards[i].export(records, elapsed)
 	}
-	return a.origin.split(Handover{Home: a.home, Elapsed: elapsed}, records, size)
+	return a.origin.batches(Handover{Home: a.home, Elapsed: elapsed}, records, limit)
 }
 
 // export appends the shard's records, and returns the later of elapsed and
@@ -112,20 +140,36 @@
 	}
 }
 
-// split fills copies of template with up to size records each.
-func (o *origin) split(template Handover, records []Record, size int) []Handover {
-	size = max(size, 1)
+// batches fills copies of template with records up to the limit.
+func (o *origin) batches(template Handover, records []Record, limit BatchLimit) []Handover {
 	template.Secret = o.authority.secret
 	template.Until = o.until
 	template.Complete = o.complete
-	template.Batches = max(1, (len(records)+size-1)/size)
-	batches := make([]Handover, template.Batches)
-	for i := range batches {
-		batches[i] = template
-		batches[i].Batch = i
-		batches[i].Records = records[min(i*size, len(records)):min((i+1)*size, len(records))]
-	}
-	return batches
+	var list []Handover
+	for len(list) == 0 || len(records) > 0 {
+		n := limit.fit(records)
+		batch := template
+		batch.Batch = len(list)
+		batch.Records = records[:n]
+		list = append(list, batch)
+		records = records[n:]
+	}
+	for i := range list {
+		list[i].Batches = len(list)
+	}
+	return list
+}
+
+// fit returns how many of the first records go into one batch.
+func (l BatchLimit) fit(records []Record) int {
+	bytes := int64(0)
+	for i, r := range records {
+		bytes += int64(len(r.Response.Body)) + headerSize(r.Response.Headers)
+		if i > 0 && (i >= l.Records || bytes > l.Bytes) {
+			return i
+		}
+	}
+	return len(records)
 }
 
 // Obsolete reports whether every token of the incarnation has expired, so
--- a/core/once/table.go
+++ b/core/once/table.go
@@ -30,6 +30,9 @@
 	headers atomic.Int64
 }
 
+// memory counts the bytes of stored responses.
+func (u *usage) memory() int64 { return u.bodies.Load() + u.headers.Load() }
+
 // shard is a part of the table under one mutex.
 type shard struct {
 	mu sync.Mutex
