--- a/io/setting/setting_test.go
+++ b/io/setting/setting_test.go
@@ -26,7 +26,8 @@
 }
 
 // TestExample guards against an example that misses a key, names a key that
-// is not known, or shows a default that does not apply.
+// is not known, or shows a default that does not apply, and against a key that
+// the operating page misses.
 func TestExample(t *testing.T) {
 	const file = "../../settings.example.yaml"
 	got, err := Load(Source{File: file})
@@ -35,9 +36,12 @@
 	require.NoError(t, err)
 	positions, err := strictyaml.Decode(file, data, &Settings{})
 	require.NoError(t, err)
+	page, err := os.ReadFile("../../docs/operating.md")
+	require.NoError(t, err)
 	defaults := Defaults()
 	for _, k := range keys {
 		require.True(t, positions.Has(k.path), "%s is not in the example", k.path)
+		require.Contains(t, string(page), "\n| `"+k.path+"` |")
 		if value := k.field(&defaults); !value.IsZero() {
 			require.Equal(t, value.Interface(), k.field(&got).Interface(), k.path)
 		}
