Hand over complete records and say when a stored body was dropped

Cause: a successor without the secret and the fingerprints answers unknown for every key, and a replay without its body would look like an empty answer.

--- a/core/exchange/code.go
+++ b/core/exchange/code.go
@@ -41,6 +41,9 @@
 	UpstreamLost Code = "upstream_lost"
 	// UpstreamTimeout means that no answer came before the deadline.
 	UpstreamTimeout Code = "upstream_timeout"
+	// AnswerDropped means that the request ran and was answered, and that the
+	// body of the answer is no longer held.
+	AnswerDropped Code = "answer_dropped"
 	// Running means that an earlier copy of the request is still running.
 	Running Code = "running"
 )
@@ -67,6 +70,8 @@
 		return 413
 	case TokenRequired:
 		return 428
+	case AnswerDropped:
+		return 410
 	case RecordsFull, HomeLost, UpstreamLost, UpstreamTimeout, Running, TokenExpired, TokenInvalid:
 		return 504
 	default:
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -59,5 +59,8 @@
 	if code.uncertain() {
 		outcome = fleet.Unknown
 	}
+	if code == AnswerDropped {
+		outcome = fleet.Done
+	}
 	return Response{Outcome: outcome, Code: code, Message: message, Status: code.status()}
 }
--- a/core/traffic/engine.go
+++ b/core/traffic/engine.go
@@ -65,10 +65,15 @@
 // SetStopping marks the planned stop, in which callers are told to move.
 func (e *Engine) SetStopping() { e.stopping.Store(true) }
 
-// Import takes records that another instance hands over.
-func (e *Engine) Import(handover once.Handover) {
+// Import takes records that another instance hands over. It reports false if
+// this instance answers for too many records already.
+func (e *Engine) Import(handover once.Handover) bool {
+	if e.imported()+len(handover.Records) > e.options.Records.Count {
+		return false
+	}
 	found, _ := e.archives.LoadOrStore(handover.Home, once.NewArchive(handover.Home))
 	found.(*once.Archive).Import(e.options.Clock.Now(), handover)
+	return true
 }
 
 // Sweep drops expired records in bounded steps.
--- a/core/traffic/serve.go
+++ b/core/traffic/serve.go
@@ -165,6 +165,9 @@
 	defer cancel()
 	for {
 		decision := decide(arrival)
+		if decision.BodyDropped {
+			return decision, exchange.Refuse(exchange.AnswerDropped, "the request ran; the body of its answer is no longer held")
+		}
 		if decision.Verdict != once.Wait {
 			return decision, decision.Response
 		}
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -300,8 +300,8 @@
 	return &peerpb.HandoverRequest{
 		Home:      toID(h.Home),
 		Secret:    h.Secret,
-		ElapsedMs: h.Elapsed.Milliseconds(),
-		UntilMs:   h.Until.Milliseconds(),
+		ElapsedNs: h.Elapsed.Nanoseconds(),
+		UntilNs:   h.Until.Nanoseconds(),
 		Complete:  h.Complete,
 		Batch:     uint32(h.Batch),
 		Batches:   uint32(h.Batches),
@@ -324,8 +324,8 @@
 	return once.Handover{
 		Home:     fromID(h.GetHome()),
 		Secret:   h.GetSecret(),
-		Elapsed:  time.Duration(h.GetElapsedMs()) * time.Millisecond,
-		Until:    time.Duration(h.GetUntilMs()) * time.Millisecond,
+		Elapsed:  time.Duration(h.GetElapsedNs()),
+		Until:    time.Duration(h.GetUntilNs()),
 		Complete: h.GetComplete(),
 		Batch:    int(h.GetBatch()),
 		Batches:  int(h.GetBatches()),
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -36,7 +36,7 @@
 	Execute(ctx context.Context, request exchange.Request) exchange.Response
 	Submit(ctx context.Context, token once.Token, request exchange.Request) (exchange.Response, bool)
 	Mint(service fleet.ServiceName) (once.Token, error)
-	Import(handover once.Handover)
+	Import(handover once.Handover) bool
 }
 
 // Prober reaches servers from this instance.
@@ -199,8 +199,7 @@
 
 // Handover implements peerpb.PeerServer.
 func (s *Server) Handover(_ context.Context, in *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
-	s.options.Traffic.Import(fromHandover(in))
-	return &peerpb.HandoverReply{Accepted: true}, nil
+	return &peerpb.HandoverReply{Accepted: s.options.Traffic.Import(fromHandover(in))}, nil
 }
 
 // defaultDeadline bounds a request whose sender gave no deadline.
--- a/io/process/state.go
+++ b/io/process/state.go
@@ -33,8 +33,8 @@
 		List:     operator.List{Revision: view.Listing.Revision, AgeMS: age(now, view.ListingAt)},
 		Peers:    peerStates(view),
 	}
-	held, archives := p.engine.RecordCounts()
-	state.Records = operator.Records{Held: held, Limit: p.options.Settings.Limits.Records, Inherited: archives}
+	held, inherited := p.engine.RecordCounts()
+	state.Records = operator.Records{Held: held, Limit: p.options.Settings.Limits.Records, Inherited: inherited}
 	for _, name := range slices.Sorted(maps.Keys(view.Services)) {
 		addService(&state, view.Services[name], now)
 	}
--- a/io/process/stop.go
+++ b/io/process/stop.go
@@ -7,6 +7,7 @@
 	"galenaridge/core/control"
 	"galenaridge/core/fleet"
 	"galenaridge/core/member"
+	"galenaridge/core/once"
 )
 
 const (
@@ -19,9 +20,10 @@
 	finishTimeout = 30 * time.Second
 	// handoverTimeout bounds one batch of records.
 	handoverTimeout = 2 * time.Second
-	// handoverBatch is the number of records in a batch. Bodies are limited, so
-	// that a batch stays below the largest message.
-	handoverBatch = 50
+	// handoverRecords and handoverBytes keep a batch below the largest message
+	// between instances.
+	handoverRecords = 1000
+	handoverBytes   = 2 << 20
 	// leaveGossip lets the last state reach the witnesses before the exit.
 	leaveGossip = time.Second
 )
@@ -75,7 +77,7 @@
 // there is one, and returns it; zero if none took them.
 func (p *Process) handOver(ctx context.Context) fleet.Member {
 	ledger := p.engine.Stop()
-	batches := ledger.Archive().Export(p.options.Clock.Now(), handoverBatch)
+	batches := ledger.Archive().Export(p.options.Clock.Now(), once.BatchLimit{Records: handoverRecords, Bytes: handoverBytes})
 	for _, to := range successors(p.control.View()) {
 		accepted := true
 		for _, batch := range batches {
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -66,7 +66,7 @@
 	}
 	for i := range 40 {
 		r, err := c.Do(ctx, client.Request{Service: d.Services[0].Name, Method: "GET", Path: "/x"})
-		fmt.Println(i, r.Outcome, r.Code, r.Status, len(r.Body), err)
+		fmt.Println(i, r.Outcome, r.Code, r.Message, r.Status, len(r.Body), err)
 		time.Sleep(100 * time.Millisecond)
 	}
 	return nil
