--- a/core/control/documents.go
+++ b/core/control/documents.go
@@ -88,7 +88,7 @@
 }
 
 // fetch asks a peer for newer documents; one fetch runs at a time.
-func (n *node) fetch(now time.Time, event member.Event) {
+func (n *node) fetch(event member.Event) {
 	view := n.config.View()
 	if n.fetching || (event.Config.Version <= view.Version() && event.Config.Revision <= n.listing.Revision) {
 		return
--- a/core/control/effects.go
+++ b/core/control/effects.go
@@ -35,7 +35,7 @@
 		n.sendFence(out)
 	}
 	for _, event := range effects.Events {
-		n.memberEvent(now, event)
+		n.memberEvent(event)
 	}
 	n.changed = true
 }
@@ -83,10 +83,10 @@
 }
 
 // memberEvent passes an event on and fetches documents that a peer has newer.
-func (n *node) memberEvent(now time.Time, event member.Event) {
+func (n *node) memberEvent(event member.Event) {
 	n.options.Events.Member(event)
 	if event.Kind == member.ConfigNewer {
-		n.fetch(now, event)
+		n.fetch(event)
 	}
 }
 
--- a/io/process/state.go
+++ b/io/process/state.go
@@ -224,4 +224,3 @@
 func ejectedServer(status health.Status) bool {
 	return status.Condition == health.Ejected || status.Condition == health.Trial
 }
-
