--- a/core/control/commands.go
+++ b/core/control/commands.go
@@ -25,7 +25,7 @@
 	got, err := ask(ctx, l, func(n *node, now time.Time) answer {
 		n.notePeer(now, message.News.Config, age)
 		reply, effects := n.members.HandleHeartbeat(now, message)
-		n.runMember(now, effects)
+		n.runMember(effects)
 		return answer{reply: reply, age: n.platformAge(now)}
 	})
 	return got.reply, got.age, err
@@ -35,7 +35,7 @@
 func (l *Loop) Sync(ctx context.Context, message member.SyncRequest) (member.SyncReply, error) {
 	return ask(ctx, l, func(n *node, now time.Time) member.SyncReply {
 		reply, effects := n.members.HandleSync(now, message)
-		n.runMember(now, effects)
+		n.runMember(effects)
 		return reply
 	})
 }
@@ -44,7 +44,7 @@
 func (l *Loop) Fence(ctx context.Context, message member.FenceRequest) (member.FenceReply, error) {
 	return ask(ctx, l, func(n *node, now time.Time) member.FenceReply {
 		reply, effects := n.members.HandleFence(now, message)
-		n.runMember(now, effects)
+		n.runMember(effects)
 		return reply
 	})
 }
@@ -95,7 +95,7 @@
 	return l.tell(ctx, func(n *node, now time.Time) {
 		n.leaving = true
 		n.changed = true
-		n.runMember(now, n.members.Leave(now))
+		n.runMember(n.members.Leave(now))
 		n.syncMembers(now)
 	})
 }
@@ -103,6 +103,6 @@
 // Finish announces that all work has ended and who answers for the records.
 func (l *Loop) Finish(ctx context.Context, successor fleet.Member) error {
 	return l.tell(ctx, func(n *node, now time.Time) {
-		n.runMember(now, n.members.Finish(now, successor))
+		n.runMember(n.members.Finish(now, successor))
 	})
 }
--- a/core/control/effects.go
+++ b/core/control/effects.go
@@ -24,7 +24,7 @@
 }
 
 // runMember carries out the effects of a membership command.
-func (n *node) runMember(now time.Time, effects member.Effects) {
+func (n *node) runMember(effects member.Effects) {
 	for _, out := range effects.Heartbeats {
 		n.sendHeartbeat(out)
 	}
@@ -52,11 +52,11 @@
 	}
 	send(n, callTimeout, call, func(n *node, now time.Time, got answer, err error) {
 		if err != nil {
-			n.runMember(now, n.members.HeartbeatFailed(now, out))
+			n.runMember(n.members.HeartbeatFailed(now, out))
 			return
 		}
 		n.notePeer(now, got.reply.News.Config, got.age)
-		n.runMember(now, n.members.HandleHeartbeatReply(now, out, got.reply))
+		n.runMember(n.members.HandleHeartbeatReply(now, out, got.reply))
 	})
 }
 
@@ -67,7 +67,7 @@
 			n.members.SyncFailed(now, out)
 			return
 		}
-		n.runMember(now, n.members.HandleSyncReply(now, out, reply))
+		n.runMember(n.members.HandleSyncReply(now, out, reply))
 	})
 }
 
@@ -75,10 +75,10 @@
 	call := func(ctx context.Context) (member.FenceReply, error) { return n.options.Peers.Fence(ctx, out) }
 	send(n, callTimeout, call, func(n *node, now time.Time, reply member.FenceReply, err error) {
 		if err != nil {
-			n.runMember(now, n.members.FenceFailed(now, out))
+			n.runMember(n.members.FenceFailed(now, out))
 			return
 		}
-		n.runMember(now, n.members.HandleFenceReply(now, out, reply))
+		n.runMember(n.members.HandleFenceReply(now, out, reply))
 	})
 }
 
@@ -105,7 +105,7 @@
 		n.lose(resource)
 	}
 	if len(effects.Learned) > 0 {
-		n.runMember(now, n.members.Learn(now, effects.Learned))
+		n.runMember(n.members.Learn(now, effects.Learned))
 	}
 	if len(effects.Acquired)+len(effects.Stop)+len(effects.Lost) > 0 {
 		n.options.Events.Ownership(effects.Acquired, effects.Stop, effects.Lost)
--- a/core/control/node.go
+++ b/core/control/node.go
@@ -59,7 +59,7 @@
 // tick does everything that is due at now.
 func (n *node) tick(now time.Time) {
 	n.announceConfig(now)
-	n.runMember(now, n.members.Tick(now))
+	n.runMember(n.members.Tick(now))
 	n.syncMembers(now)
 	n.checkLease(now)
 	n.runOwnership(now, n.owners.Tick(now, n.lease))
