--- a/client/assignment.go
+++ b/client/assignment.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 const (
 	// askTimeout bounds one question for an assignment.
 	askTimeout = time.Second
+	// askStagger is after which time the next entry address is asked too; it
+	// is several round trips between failure domains.
+	askStagger = 100 * time.Millisecond
 	// renewShare is the part of its time after which an assignment is renewed.
 	renewShare = 0.8
 )
@@ -119,6 +123,19 @@
 	}
 }
 
+// leave forgets all assignments that name an address.
+func (a *assignments) leave(address fleet.Address) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, entry := range a.services {
+		entry.mu.Lock()
+		if entry.current != nil && slices.Contains(entry.current.addresses, address) {
+			entry.current = nil
+		}
+		entry.mu.Unlock()
+	}
+}
+
 // replace asks for an assignment unless another request has done so.
 func (a *assignments) replace(service fleet.ServiceName, entry *serviceEntry, old *assignment, deadline time.Time) (*assignment, error) {
 	entry.asking.Lock()
@@ -153,41 +170,75 @@
 	})
 }
 
-// ask asks the entry addresses in turn, from a random one on.
+// ask asks the entry addresses, from a random one on. Each next one is asked
+// when the one before failed or is slow, so that an instance that hangs does
+// not hold up the requests that wait; the first assignment counts.
 func (a *assignments) ask(service fleet.ServiceName, deadline time.Time) (*assignment, error) {
-	first := a.intN(len(a.options.Entries))
+	entries := a.options.Entries
+	first := a.intN(len(entries))
+	answers := make(chan answer, len(entries))
 	failure := errNoAssignment
-	for i := range a.options.Entries {
-		now := a.options.Clock.Now()
-		if !now.Before(deadline) {
-			break
+	for asked, failed := 0, 0; failed < len(entries); {
+		if asked < len(entries) {
+			address := entries[(first+asked)%len(entries)]
+			a.tasks.Go(func() { answers <- a.askOne(service, address, deadline) })
+			asked++
 		}
-		address := a.options.Entries[(first+i)%len(a.options.Entries)]
-		limit := now.Add(askTimeout)
-		if deadline.Before(limit) {
-			limit = deadline
+		got, ok := a.await(answers, asked == len(entries), deadline)
+		switch {
+		case ok && got.err == nil:
+			return got.assignment, nil
+		case ok:
+			failed++
+			failure = got.err
+		case !a.options.Clock.Now().Before(deadline):
+			return nil, eris.Wrapf(failure, "service %s", service)
 		}
-		fresh, err := a.askOne(service, address, now, limit)
-		if err == nil {
-			return fresh, nil
-		}
-		failure = err
 	}
 	return nil, eris.Wrapf(failure, "service %s", service)
 }
 
-func (a *assignments) askOne(service fleet.ServiceName, address fleet.Address, now, deadline time.Time) (*assignment, error) {
+// answer is what one entry address gave.
+type answer struct {
+	assignment *assignment
+	err        error
+}
+
+// await waits for an answer, until the next address is due or, after the last
+// one, until the deadline.
+func (a *assignments) await(answers <-chan answer, last bool, deadline time.Time) (answer, bool) {
+	wait := deadline.Sub(a.options.Clock.Now())
+	if !last {
+		wait = min(wait, askStagger)
+	}
+	timer := a.options.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case got := <-answers:
+		return got, true
+	case <-timer.Chan():
+		return answer{}, false
+	}
+}
+
+// askOne asks one entry address.
+func (a *assignments) askOne(service fleet.ServiceName, address fleet.Address, deadline time.Time) answer {
+	now := a.options.Clock.Now()
+	if limit := now.Add(askTimeout); limit.Before(deadline) {
+		deadline = limit
+	}
 	request := &fasthttp.Request{}
 	query := url.Values{"service": {string(service)}, "domain": {string(a.options.Domain)}}
 	request.SetRequestURI("/-/assign?" + query.Encode())
 	response, err := a.transport.exchange(address, request, deadline)
 	if err != nil {
-		return nil, err
+		return answer{err: err}
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
-		return nil, eris.Errorf("%s answered %d to the question for an assignment", address, response.StatusCode())
+		return answer{err: eris.Errorf("%s answered %d to the question for an assignment", address, response.StatusCode())}
 	}
-	return parseAssignment(response.Body(), now)
+	fresh, err := parseAssignment(response.Body(), now)
+	return answer{fresh, err}
 }
 
 // pick returns the addresses of an assignment in the order in which to try
--- a/client/attempt.go
+++ b/client/attempt.go
@@ -118,7 +118,10 @@
 	a.sent++
 	result := read(response)
 	result.Address = address
-	if string(response.Header.Peek(headerMove)) == "1" || outdated(result.Code) {
+	if string(response.Header.Peek(headerMove)) == "1" {
+		a.client.assignments.leave(address)
+	}
+	if outdated(result.Code) {
 		a.client.assignments.drop(a.request.Service, assigned)
 	}
 	return result, nil
--- a/client/client.go
+++ b/client/client.go
@@ -4,6 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/hex"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -105,8 +106,12 @@
 	case e := <-done:
 		return e.result, e.err
 	case <-grace.Chan():
-		return Result{Outcome: fleet.Unknown, Code: exchange.Canceled, Key: a.request.Key}, ctx.Err()
 	}
+	code := exchange.Canceled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = NoAnswer
+	}
+	return Result{Outcome: fleet.Unknown, Code: code, Key: a.request.Key}, ctx.Err()
 }
 
 // cancelGrace is how long Do waits for an exchange that ends together with
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -379,6 +380,73 @@
 	}
 }
 
+// Guards against an unknown outcome for a request that met a connection that
+// the instance had closed before.
+func TestIdleConnectionClosed(t *testing.T) {
+	tests := []struct {
+		name      string
+		protected bool
+		restart   bool
+	}{
+		{"closed by the instance", false, false},
+		{"closed by the instance, protected", true, false},
+		{"instance gone, protected", true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, done)
+			f.later = []int{1}
+			c := connect(t, f, client.Options{})
+			request := client.Request{Service: "svc", Method: "POST", Path: "/", Protected: test.protected}
+			_, err := c.Do(t.Context(), request)
+			require.NoError(t, err)
+			if test.restart {
+				f.instances[0].Close()
+			} else {
+				f.instances[0].CloseClientConnections()
+			}
+			got, err := c.Do(t.Context(), request)
+			require.NoError(t, err)
+			assert.Equal(t, fleet.Done, got.Outcome)
+			assert.Equal(t, 1, got.Sent)
+			requests, _ := f.log()
+			assert.Len(t, requests, 2)
+		})
+	}
+}
+
+// Guards against a hung entry address that holds up all requests.
+func TestEntryHangs(t *testing.T) {
+	tests := []struct {
+		name string
+		hung int
+	}{
+		{"none", 0},
+		{"one", 1},
+		{"three", 3},
+	}
+	hung, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = hung.Close() }()
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, done)
+			entries := []fleet.Address{f.address(0)}
+			for range test.hung {
+				entries = append(entries, fleet.Address(hung.Addr().String()))
+			}
+			c, err := client.New(client.Options{Entries: entries, Seed: 1})
+			require.NoError(t, err)
+			defer c.Close()
+			began := time.Now()
+			got, err := c.Do(context.Background(), client.Request{Service: "svc", Method: "GET", Path: "/"})
+			require.NoError(t, err)
+			assert.Equal(t, fleet.Done, got.Outcome)
+			assert.Less(t, time.Since(began), 700*time.Millisecond)
+		})
+	}
+}
+
 // Guards against a Do that outlives its context.
 func TestCancelDuringExchange(t *testing.T) {
 	release := make(chan struct{})
--- a/client/transport.go
+++ b/client/transport.go
@@ -15,6 +15,13 @@
 // dialTimeout bounds the attempt to connect to one address.
 const dialTimeout = time.Second
 
+// idleLife is how long an unused connection is kept. It is short, so that
+// instances seldom close one that the client is about to use.
+const idleLife = 5 * time.Second
+
+// maxIdleClosed bounds how many closed idle connections one request meets.
+const maxIdleClosed = 64
+
 // dialError means that no connection was made, so that nothing was sent.
 type dialError struct{ err error }
 
@@ -27,7 +34,7 @@
 // unsent reports whether an error of an exchange proves that nothing was sent.
 func unsent(err error) bool {
 	var dial *dialError
-	return errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns)
+	return errors.As(err, &dial) || errors.Is(err, errIdleClosed) || errors.Is(err, fasthttp.ErrNoFreeConns)
 }
 
 // refused reports whether nobody listens at the address, so that the process
@@ -48,10 +55,11 @@
 			if err != nil {
 				return nil, &dialError{err}
 			}
-			return conn, nil
+			return &idleConn{Conn: conn}, nil
 		},
 		NoDefaultUserAgentHeader:  true,
 		MaxConnsPerHost:           o.ConnsPerAddress,
+		MaxIdleConnDuration:       idleLife,
 		MaxResponseBodySize:       o.MaxBody,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -63,11 +71,17 @@
 func (t transport) exchange(address fleet.Address, request *fasthttp.Request, deadline time.Time) (*fasthttp.Response, error) {
 	request.URI().SetScheme("http")
 	request.URI().SetHost(string(address))
-	response := &fasthttp.Response{}
-	if err := t.http.DoDeadline(request, response, deadline); err != nil {
-		return nil, eris.Wrapf(err, "ask %s", address)
+	for range maxIdleClosed {
+		response := &fasthttp.Response{}
+		err := t.http.DoDeadline(request, response, deadline)
+		if err == nil {
+			return response, nil
+		}
+		if !errors.Is(err, errIdleClosed) {
+			return nil, eris.Wrapf(err, "ask %s", address)
+		}
 	}
-	return response, nil
+	return nil, eris.Wrapf(errIdleClosed, "ask %s", address)
 }
 
 // close ends idle connections.
