--- a/cmd/show_test.go
+++ b/cmd/show_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -41,3 +44,31 @@
 		})
 	}
 }
+
+// TestFetchState guards against an error of the instance that is printed as
+// its state.
+func TestFetchState(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		err    bool
+	}{
+		{"state", http.StatusOK, false},
+		{"error", http.StatusServiceUnavailable, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				require.Equal(t, "/state", r.URL.Path)
+				w.WriteHeader(tt.status)
+				_, _ = w.Write([]byte("{}"))
+			}))
+			defer server.Close()
+			encoded, err := fetchState(context.Background(), server.Listener.Addr().String())
+			require.Equal(t, tt.err, err != nil, "%v", err)
+			if !tt.err {
+				require.Equal(t, "{}", string(encoded))
+			}
+		})
+	}
+}
--- a/io/journal/journal.go
+++ b/io/journal/journal.go
@@ -26,19 +26,24 @@
 	clock fleet.Clock
 	what  string
 
-	mu       sync.Mutex
-	message  string
+	mu sync.Mutex
+	// logged are the messages of the present run of failures.
+	logged   map[string]bool
 	since    time.Time
 	repeated int
 }
 
+// maxLogged bounds the different messages that are logged in one run of
+// failures, for errors that carry something that changes each time.
+const maxLogged = 8
+
 // NewOnce returns a log of the failures of one activity.
 func NewOnce(log logrus.FieldLogger, clock fleet.Clock, what string) *Once {
-	return &Once{log: log, clock: clock, what: what}
+	return &Once{log: log, clock: clock, what: what, logged: make(map[string]bool)}
 }
 
-// Failed logs the failure unless it is the same as the one before. A run of
-// failures goes on while their messages differ.
+// Failed logs the failure unless the present run of failures has had it
+// already. Failures that take turns make one run.
 func (o *Once) Failed(err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -47,10 +52,10 @@
 		o.since = o.clock.Now()
 	}
 	o.repeated++
-	if message == o.message {
+	if o.logged[message] || len(o.logged) >= maxLogged {
 		return
 	}
-	o.message = message
+	o.logged[message] = true
 	o.log.WithField("error", message).Warn(o.what + " failed")
 }
 
@@ -64,9 +69,7 @@
 	o.log.WithField("failures", o.repeated).
 		WithField("seconds", o.clock.Now().Sub(o.since).Seconds()).
 		Info(o.what + " works again")
-	o.message = ""
-	o.since = time.Time{}
-	o.repeated = 0
+	o.reset()
 }
 
 // FailingSince returns when the present run of failures began, and false if
@@ -82,7 +85,11 @@
 func (o *Once) Forget() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.message = ""
+	o.reset()
+}
+
+func (o *Once) reset() {
+	clear(o.logged)
 	o.since = time.Time{}
 	o.repeated = 0
 }
--- a/io/journal/journal_test.go
+++ b/io/journal/journal_test.go
@@ -21,6 +21,7 @@
 	}{
 		{"same failure", []string{"a", "a", "a"}, []string{"read failed"}},
 		{"other failure", []string{"a", "b", "b"}, []string{"read failed", "read failed"}},
+		{"in turns", []string{"a", "b", "a", "b"}, []string{"read failed", "read failed"}},
 		{"end", []string{"a", "a", "", ""}, []string{"read failed", "read works again"}},
 		{"again", []string{"a", "", "a"}, []string{"read failed", "read works again", "read failed"}},
 		{"no failure", []string{"", ""}, nil},
--- a/io/upstream/errors.go
+++ b/io/upstream/errors.go
@@ -24,7 +24,8 @@
 	Canceled
 	// Broken means that the connection broke before the whole response came.
 	Broken
-	// Malformed means that the response breaks HTTP or its end is not marked.
+	// Malformed means that the response breaks HTTP or its end is not marked,
+	// or, if nothing was written, that the request cannot be encoded.
 	Malformed
 	// Oversized means that the response body exceeds the limit.
 	Oversized
@@ -57,7 +58,11 @@
 
 // refusal returns the response that stands for a failed attempt.
 func refusal(fault Fault, progress Progress) exchange.Response {
-	return exchange.Refuse(code(fault, progress), "the server gave no whole answer: "+fault.String())
+	message := "the server gave no whole answer: "
+	if progress == Unwritten {
+		message = "the request was not sent to the server: "
+	}
+	return exchange.Refuse(code(fault, progress), message+fault.String())
 }
 
 // code returns the refusal code of a failure. Codes whose outcome is "not
@@ -76,6 +81,8 @@
 		return exchange.Canceled
 	case Denied:
 		return exchange.NotReady
+	case Malformed:
+		return exchange.BadRequest
 	default:
 		return exchange.NoCapacity
 	}
