Add the demo: faults under load, and what must always hold

Cause: an operator needs one command that shows the whole path. Change: standin/demo starts a deployment, mixes reads and protected writes, makes a server stall, kills one instance, stops another as planned, and prints a table; it fails if a promise is broken.

--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -6,68 +6,42 @@
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
+	"os/signal"
+	"syscall"
 	"time"
 
-	"galenaridge/client"
-	"galenaridge/core/questionnaire"
-	"galenaridge/io/document"
-	"galenaridge/standin/harness"
+	"galenaridge/standin/demo"
 )
 
-func main() {
-	deployment := flag.String("deployment", "kuvuka", "kuvuka or bluemahoe")
-	instances := flag.Int("instances", 9, "number of instances")
-	dir := flag.String("dir", "", "directory for logs")
-	flag.Parse()
-	if err := run(*deployment, *instances, *dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+// timeout bounds the whole demo after the build.
+const timeout = 45 * time.Second
 
-func run(name string, instances int, dir string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), 45*time.Second)
-	defer cancel()
-	file := filepath.Join("examples", name+".yaml")
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
-	answers, err := document.DecodeAnswers(file, data)
-	if err != nil {
-		return err
-	}
-	draft, err := questionnaire.Generate(answers, 0)
-	if err != nil {
-		return err
-	}
-	config, err := document.EncodeConfig(draft.Document, draft.Notes)
-	if err != nil {
-		return err
-	}
-	d := harness.Kuvuka(instances)
-	if name == "bluemahoe" {
-		d = harness.BlueMahoe(instances)
-	}
+func main() { os.Exit(run()) }
+
+func run() int {
+	var options demo.Options
+	flag.StringVar(&options.Deployment, "deployment", "kuvuka", "kuvuka or bluemahoe")
+	flag.IntVar(&options.Instances, "instances", 9, "number of instances")
+	flag.StringVar(&options.Dir, "dir", "", "keep settings and logs in this directory")
+	flag.StringVar(&options.Bin, "bin", "bin", "directory of the programs")
+	flag.StringVar(&options.Examples, "examples", "examples", "directory of the answers")
+	flag.Uint64Var(&options.Seed, "seed", 1, "seed of the load")
+	flag.Parse()
 	begin := time.Now()
-	fleet, err := harness.Open(ctx, harness.Options{Deployment: d, Bin: "bin", Config: config, Dir: dir})
-	if err != nil {
-		return err
-	}
-	defer fleet.Close()
-	if err := fleet.WaitReady(ctx); err != nil {
-		return err
-	}
-	fmt.Println("ready after", time.Since(begin))
-	c, err := client.New(client.Options{Entries: fleet.Entries(), Domain: d.Domains[0], Via: fleet.ClientVia()})
+	options.Say = func(line string) { fmt.Printf("%6.1fs  %s\n", time.Since(begin).Seconds(), line) }
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	summary, err := demo.Run(ctx, options)
 	if err != nil {
-		return err
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		return 1
 	}
-	for i := range 40 {
-		r, err := c.Do(ctx, client.Request{Service: d.Services[0].Name, Method: "GET", Path: "/x"})
-		fmt.Println(i, r.Outcome, r.Code, r.Message, r.Status, len(r.Body), err)
-		time.Sleep(100 * time.Millisecond)
+	fmt.Println()
+	fmt.Print(summary.Table())
+	if len(summary.Broken()) > 0 {
+		return 1
 	}
-	return nil
+	return 0
 }
--- a/standin/harness/deployment.go
+++ b/standin/harness/deployment.go
@@ -62,7 +62,7 @@
 func Kuvuka(instances int) Deployment {
 	return Deployment{
 		Name:    "kuvuka",
-		Domains: []fleet.Domain{"khomas-1", "khomas-2", "khomas-3"},
+		Domains: []fleet.Domain{"khomas-a", "khomas-b", "khomas-c"},
 		Services: []Service{
 			{Name: "bundle-svc", Servers: 20, Slots: 4, Conns: 330, Mean: 20 * time.Millisecond, Jitter: 8 * time.Millisecond},
 			{Name: "credit-svc", Servers: 6, Slots: 4, Conns: 330, Mean: 30 * time.Millisecond, Jitter: 10 * time.Millisecond},
