--- a/core/health/commands.go
+++ b/core/health/commands.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"slices"
 	"time"
 
 	"galenaridge/core/fleet"
@@ -67,6 +68,11 @@
 	learnedSince time.Time
 	baseline     time.Duration
 	baselineAt   time.Time
+	// stallAge is the age at which requests in flight are overdue at this tick.
+	stallAge time.Duration
+	// medians holds the median latency of each healthy server at this tick, in
+	// ascending order.
+	medians []time.Duration
 }
 
 // New returns a state without servers.
@@ -91,6 +97,7 @@
 		s.record(now, &readings[i])
 	}
 	s.forget()
+	s.compile()
 	var effects Effects
 	for i := range readings {
 		s.decide(now, s.servers[readings[i].Server], taking, &effects)
@@ -109,6 +116,7 @@
 		s.learned.halve()
 		s.learnedSince = now
 	}
+	s.stallAge = s.thresholds.stallAge(&s.learned, s.options.Deadline)
 }
 
 // record adds what happened on a server since the last tick to its window.
@@ -134,12 +142,15 @@
 	if now.Sub(s.resumed) < settleTime {
 		ended = tally{succeeded: ended.succeeded}
 	}
-	v.window.record(now.Sub(s.started), &ended)
 	v.succeeded(&ended)
-	v.median = medianOf(&v.window, s.thresholds.slowAttempts)
 	if v.status.Condition == Healthy {
 		s.learned.add(&ended.latencies)
 	}
+	if now.Before(v.warmUntil) {
+		ended.timed, ended.latencies = 0, histogram{}
+	}
+	v.window.record(now.Sub(s.started), &ended)
+	v.median = medianOf(&v.window, s.thresholds.slowAttempts)
 }
 
 // ended returns the attempts that ended between two snapshots.
@@ -149,13 +160,13 @@
 		failed:    int(after.Failed - before.Failed),
 		latencies: after.latencies.since(&before.latencies),
 	}
+	t.timed = t.latencies.total()
 	timedOut := int(after.TimedOut - before.TimedOut)
 	if timedOut == 0 {
 		return t
 	}
 	lasted := (after.Overrun - before.Overrun) / time.Duration(timedOut)
-	stallAge := s.thresholds.stallAge(&s.learned, s.options.Deadline)
-	if lasted >= time.Duration(timeoutShare*float64(stallAge)) {
+	if lasted >= time.Duration(timeoutShare*float64(s.stallAge)) {
 		t.timedOut = timedOut
 		t.failed += timedOut
 	}
@@ -180,6 +191,17 @@
 	v.successes += ended.succeeded
 }
 
+// compile collects the median latencies of the healthy servers.
+func (s *State) compile() {
+	s.medians = s.medians[:0]
+	for _, v := range s.servers {
+		if v.status.Condition == Healthy && v.median > 0 {
+			s.medians = append(s.medians, v.median)
+		}
+	}
+	slices.Sort(s.medians)
+}
+
 // forget drops servers that had no reading at this tick.
 func (s *State) forget() {
 	for id, v := range s.servers {
@@ -222,11 +244,7 @@
 func (s *State) decideHealthy(now time.Time, v *server, taking fleet.Servers, effects *Effects) {
 	v.decay(now)
 	found := s.judge(now, v)
-	if found.reason != Slow {
-		v.slowSince = time.Time{}
-	} else if v.slowSince.IsZero() {
-		v.slowSince = now
-	}
+	v.noteSlow(now, found.reason == Slow)
 	if found.reason == NoReason || taking <= 1 {
 		return
 	}
@@ -239,6 +257,19 @@
 	}
 }
 
+// noteSlow keeps since when a server is slow.
+func (v *server) noteSlow(now time.Time, slow bool) {
+	switch {
+	case slow && v.slowSince.IsZero():
+		v.slowSince = now
+		v.slowSeen = now
+	case slow:
+		v.slowSeen = now
+	case now.Sub(v.slowSeen) > slowLapse:
+		v.slowSince = time.Time{}
+	}
+}
+
 // decideSuspect clears a server whose evidence is gone.
 func (s *State) decideSuspect(now time.Time, v *server, effects *Effects) {
 	found := s.judge(now, v)
--- a/core/health/detect.go
+++ b/core/health/detect.go
@@ -1,9 +1,6 @@
 package health
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // evidence is what speaks against a server; its reason is NoReason if nothing
 // does.
@@ -97,29 +94,35 @@
 	if c.median == 0 {
 		return 0
 	}
-	recent := w.latestLatencies(t.slowAttempts)
-	if recent.total() < t.slowAttempts {
+	if w.sum.timed < t.slowAttempts {
+		return 0
+	}
+	recent, medians := w.latestLatencies(t.slowAttempts, t.slowSpread)
+	above := 0
+	for _, median := range medians {
+		if c.exceeds(median) {
+			above++
+		}
+	}
+	if len(medians) < t.slowSpread || 2*above <= len(medians) {
 		return 0
 	}
 	return c.excess(&recent)
 }
 
+// exceeds reports whether a latency is too large against the usual one.
+func (c *comparison) exceeds(latency time.Duration) bool {
+	t := c.thresholds
+	return c.median > 0 && latency-c.median >= t.slowMargin &&
+		float64(latency) >= t.slowRatio*float64(c.median)
+}
+
 // excess returns the ratio of the median of some latencies to the usual one
 // if it is too large, otherwise zero.
 func (c *comparison) excess(latencies *histogram) float64 {
 	median := latencies.quantile(0.5)
-	ratio := float64(median) / float64(max(c.median, 1))
-	if c.median == 0 || ratio < c.thresholds.slowRatio || median-c.median < c.thresholds.slowMargin {
-		return 0
-	}
-	return ratio
-}
-
-// middle returns the median of medians; zero if there are none.
-func middle(medians []time.Duration) time.Duration {
-	if len(medians) == 0 {
+	if !c.exceeds(median) {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(medians))
-	return sorted[len(sorted)/2]
+	return float64(median) / float64(c.median)
 }
--- a/core/health/latency.go
+++ b/core/health/latency.go
@@ -33,13 +33,15 @@
 	return min(index, latencyBuckets-1)
 }
 
-// bucketStart returns the smallest latency of a bucket.
-func bucketStart(index int) time.Duration {
-	if index == 0 {
-		return 0
+// bucketStarts holds the smallest latency of each bucket, and the end of the
+// last one.
+var bucketStarts = func() [latencyBuckets + 1]time.Duration {
+	var starts [latencyBuckets + 1]time.Duration
+	for i := 1; i <= latencyBuckets; i++ {
+		starts[i] = time.Duration(float64(latencyUnit) * math.Pow(math.Sqrt2, float64(i-1)))
 	}
-	return time.Duration(float64(latencyUnit) * math.Pow(math.Sqrt2, float64(index-1)))
-}
+	return starts
+}()
 
 // add adds the counts of other.
 func (h *histogram) add(other *histogram) {
@@ -83,11 +85,11 @@
 	below := 0.0
 	for i, n := range h {
 		if n > 0 && below+float64(n) >= rank {
-			start := bucketStart(i)
-			width := bucketStart(i+1) - start
+			start := bucketStarts[i]
+			width := bucketStarts[i+1] - start
 			return start + time.Duration(float64(width)*(rank-below)/float64(n))
 		}
 		below += float64(n)
 	}
-	return bucketStart(latencyBuckets)
+	return bucketStarts[latencyBuckets]
 }
--- a/core/health/queries.go
+++ b/core/health/queries.go
@@ -31,15 +31,15 @@
 // Publish returns an immutable copy of the conditions.
 func (s *State) Publish() View {
 	statuses := make([]Status, 0, len(s.servers))
-	medians := make([]time.Duration, 0, len(s.servers))
 	for _, v := range s.servers {
 		statuses = append(statuses, v.status)
-		if v.status.Condition == Healthy && v.median > 0 {
-			medians = append(medians, v.median)
-		}
 	}
 	slices.SortFunc(statuses, func(a, b Status) int { return cmp.Compare(a.Server, b.Server) })
-	return View{statuses: statuses, median: middle(medians)}
+	view := View{statuses: statuses}
+	if len(s.medians) > 0 {
+		view.median = s.medians[len(s.medians)/2]
+	}
+	return view
 }
 
 // Status returns the condition of a server and whether it is known.
@@ -95,30 +95,21 @@
 // judge weighs the evidence against a server.
 func (s *State) judge(now time.Time, v *server) evidence {
 	c := s.compare(now, v)
-	found := c.judge(&v.window, &v.snapshot, now.Sub(s.resumed))
-	if found.reason == Slow && now.Before(v.warmUntil) {
-		return evidence{}
-	}
-	return found
+	return c.judge(&v.window, &v.snapshot, now.Sub(s.resumed))
 }
 
 // compare returns what a server is judged against: the other servers known
 // here if there are enough, else the median of the service, else, if that is
 // allowed, the latencies learned here.
 func (s *State) compare(now time.Time, v *server) comparison {
-	c := comparison{
-		thresholds: &s.thresholds,
-		stallAge:   s.thresholds.stallAge(&s.learned, s.options.Deadline),
-	}
-	medians := make([]time.Duration, 0, len(s.servers))
-	for _, other := range s.servers {
-		if other != v && other.status.Condition == Healthy && other.median > 0 {
-			medians = append(medians, other.median)
-		}
+	c := comparison{thresholds: &s.thresholds, stallAge: s.stallAge}
+	own := 0
+	if v.status.Condition == Healthy && v.median > 0 {
+		own = 1
 	}
 	switch {
-	case len(medians) >= 2:
-		c.median = middle(medians)
+	case len(s.medians)-own >= 2:
+		c.median = medianWithout(s.medians, v.median, own == 1)
 	case s.baseline > 0 && now.Sub(s.baselineAt) < baselineLife:
 		c.median = s.baseline
 	case s.thresholds.slowAlone && s.learned.total() >= learnedEnough:
@@ -127,10 +118,23 @@
 	return c
 }
 
+// medianWithout returns the median of sorted durations, leaving one of them
+// out if so asked.
+func medianWithout(sorted []time.Duration, left time.Duration, leave bool) time.Duration {
+	if !leave {
+		return sorted[len(sorted)/2]
+	}
+	middle := (len(sorted) - 1) / 2
+	if at, found := slices.BinarySearch(sorted, left); found && at <= middle {
+		middle++
+	}
+	return sorted[middle]
+}
+
 // medianOf returns the median latency over a window; zero if it holds fewer
 // than enough.
 func medianOf(w *window, enough int) time.Duration {
-	if w.sum.succeeded < enough {
+	if w.sum.timed < enough {
 		return 0
 	}
 	return w.sum.latencies.quantile(0.5)
--- a/core/health/server.go
+++ b/core/health/server.go
@@ -18,6 +18,7 @@
 
 	warmUntil time.Time
 	slowSince time.Time
+	slowSeen  time.Time
 	// cleanSince is when a suspect server was last without evidence.
 	cleanSince time.Time
 	// successes counts successes in a row since the condition began.
--- a/core/health/thresholds.go
+++ b/core/health/thresholds.go
@@ -31,11 +31,14 @@
 	// server that refuses connections; it doubles in between.
 	firstBackoff = 250 * time.Millisecond
 	lastBackoff  = 5 * time.Second
+	// slowLapse is how long a slow server may look normal without starting the
+	// time over; medians of few latencies vary.
+	slowLapse = 300 * time.Millisecond
 	// learnTime is the time after which learned latencies lose half of their
 	// weight.
 	learnTime = time.Minute
 	// learnedEnough is how many latencies a 99th percentile needs.
-	learnedEnough = 200
+	learnedEnough = 100
 	// stallQuantile is the quantile of learned latencies that the stall
 	// threshold is a multiple of.
 	stallQuantile = 0.99
@@ -76,6 +79,9 @@
 	slowRatio    float64
 	slowMargin   time.Duration
 	slowAttempts int
+	// slowSpread is the least number of window buckets that these attempts
+	// ended in. All requests that a pause held up end at the same time.
+	slowSpread int
 	// slowHold is how long a server has to be slow; it outlasts a restart that
 	// the owner did not notice.
 	slowHold time.Duration
@@ -101,18 +107,18 @@
 func thresholdsOf(detect fleet.Preference) thresholds {
 	if detect == fleet.Fast {
 		return thresholds{
-			stallFloor: 600 * time.Millisecond, stallFactor: 1.5, stallUnlearned: 0.2, stallSingle: 1,
+			stallFloor: 600 * time.Millisecond, stallFactor: 1.5, stallUnlearned: 0.15, stallSingle: 1,
 			shareLimit: 0.4, shareAttempts: 10, allFailed: 3,
-			slowRatio: 2.5, slowMargin: 10 * time.Millisecond, slowAttempts: 8, slowAlone: true,
-			warmup: 2 * time.Second, refusals: 2,
+			slowRatio: 2.5, slowMargin: 10 * time.Millisecond, slowAttempts: 10, slowSpread: 5, slowAlone: true,
+			warmup: 4 * time.Second, refusals: 2,
 			ejection: 2 * time.Second, ejectionCap: time.Minute, successes: 3, clear: time.Second,
 		}
 	}
 	return thresholds{
-		stallFloor: 1500 * time.Millisecond, stallFactor: 3, stallUnlearned: 0.4, stallSingle: 1.3,
+		stallFloor: 1500 * time.Millisecond, stallFactor: 3, stallUnlearned: 0.35, stallSingle: 1.3,
 		shareLimit: 0.44, shareAttempts: 16, allFailed: 4,
-		slowRatio: 3, slowMargin: 30 * time.Millisecond, slowAttempts: 12, slowHold: 1500 * time.Millisecond,
-		warmup: 5 * time.Second, refusals: 3,
+		slowRatio: 2.5, slowMargin: 30 * time.Millisecond, slowAttempts: 16, slowSpread: 8, slowHold: 900 * time.Millisecond,
+		warmup: 4 * time.Second, refusals: 3,
 		ejection: 4 * time.Second, ejectionCap: 2 * time.Minute, successes: 5, clear: 2 * time.Second,
 	}
 }
--- a/core/health/window.go
+++ b/core/health/window.go
@@ -14,7 +14,9 @@
 	succeeded int
 	failed    int
 	// timedOut is the part of failed that ended by their deadline.
-	timedOut  int
+	timedOut int
+	// timed counts the latencies.
+	timed     int
 	latencies histogram
 }
 
@@ -23,6 +25,7 @@
 	t.succeeded += other.succeeded
 	t.failed += other.failed
 	t.timedOut += other.timedOut
+	t.timed += other.timed
 	t.latencies.add(&other.latencies)
 }
 
@@ -31,6 +34,7 @@
 	t.succeeded -= other.succeeded
 	t.failed -= other.failed
 	t.timedOut -= other.timedOut
+	t.timed -= other.timed
 	t.latencies = t.latencies.since(&other.latencies)
 }
 
@@ -88,17 +92,24 @@
 	return sum
 }
 
-// latestLatencies is like latest, but counts succeeded attempts only.
-func (w *window) latestLatencies(count int) histogram {
+// latestLatencies returns the newest latencies: as few buckets as hold count
+// of them and number at least spread, without empty ones. It also returns the
+// medians of these buckets.
+func (w *window) latestLatencies(count, spread int) (histogram, []time.Duration) {
 	var sum histogram
+	medians := make([]time.Duration, 0, windowBuckets)
 	found := 0
 	for back := range int64(windowBuckets) {
-		if w.head < back || found >= count {
+		if w.head < back || found >= count && len(medians) >= spread {
 			break
 		}
 		bucket := &w.buckets[(w.head-back)%windowBuckets]
+		if bucket.timed == 0 {
+			continue
+		}
 		sum.add(&bucket.latencies)
-		found += bucket.succeeded
+		found += bucket.timed
+		medians = append(medians, bucket.latencies.quantile(0.5))
 	}
-	return sum
+	return sum, medians
 }
