--- a/io/caller/doc.go
+++ b/io/caller/doc.go
@@ -14,5 +14,6 @@
 // read deadline ends the wait when the handler returns, before fasthttp reads
 // again. A caller that closes only its sending side counts as gone. If the
 // caller pipelines, the next request hides the end of the stream behind it,
-// and only the deadline of the request bounds the handler.
+// and only the deadline of the request bounds the handler. fasthttp also holds an
+// answer back if it has read the next request already.
 package caller
