--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -30,9 +30,9 @@
 	// idleTimeout closes connections that carry nothing, so that 400
 	// instances do not keep 400 connections each.
 	idleTimeout = time.Minute
-	// maxMessage bounds a message in bytes; a configuration may have 1 MB and
-	// a body 1 MiB.
-	maxMessage = 4 << 20
+	// maxMessage bounds a message in bytes; the configuration may allow bodies of
+	// 64 MiB.
+	maxMessage = 66 << 20
 )
 
 // ClientOptions configure a Client.
