--- a/standin/server/control.go
+++ b/standin/server/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 )
 
@@ -34,7 +35,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if err := s.SetFault(fault); err != nil {
+	err := s.SetFault(fault)
+	switch {
+	case errors.Is(err, errBadFault):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	case err != nil:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
--- a/standin/server/fault.go
+++ b/standin/server/fault.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"galenaridge/standin/jsontime"
 )
 
@@ -45,6 +47,19 @@
 	Load *int `json:"load,omitempty"`
 }
 
+var errBadFault = eris.New("bad fault")
+
+// check fails on a fault that would meet no request as it is meant to.
+func (f Fault) check() error {
+	if f.Kind == FaultSlow && f.Factor <= 0 {
+		return eris.Wrap(errBadFault, "slow needs a factor above 0")
+	}
+	if f.Share < 0 || f.Share > 1 || f.Period < 0 {
+		return eris.Wrap(errBadFault, "share must be 0 to 1 and period not negative")
+	}
+	return nil
+}
+
 // defaultPeriod applies to a flapping server without a period.
 const defaultPeriod = time.Second
 
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -132,9 +132,12 @@
 // Keys returns how often each protected key started to run.
 func (s *Server) Keys() map[fleet.Key]int { return s.ledger.keyRuns() }
 
-// SetFault replaces the fault in force. It fails if a server that refused
-// connections cannot listen again.
+// SetFault replaces the fault in force. It fails on a fault that makes no
+// sense, and if a server that refused connections cannot listen again.
 func (s *Server) SetFault(fault Fault) error {
+	if err := fault.check(); err != nil {
+		return err
+	}
 	s.faults.set(s.clock.Now(), fault)
 	if fault.Kind == FaultRefuse {
 		s.data.close()
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -138,36 +138,49 @@
 }
 
 // Guards against peaks that leave out the requests and connections beyond
-// the limits, which would hide an overshoot.
+// the limits, which would hide an overshoot. The requests come one after the
+// other and those with a slot stay, so that a shed one leaves its connection
+// to the next.
 func TestLimits(t *testing.T) {
 	tests := []struct {
-		name      string
-		conns     fleet.Conns
-		parallel  int
-		shed      int
-		peakConns int
+		name         string
+		conns        fleet.Conns
+		requests     int
+		shed         int
+		peakRequests int
+		peakConns    int
 	}{
-		{name: "within", parallel: 2, peakConns: 2},
-		{name: "beyond slots", parallel: 5, shed: 3, peakConns: 5},
-		{name: "beyond connections", conns: 2, parallel: 3, peakConns: 3},
+		{name: "within", requests: 2, peakRequests: 2, peakConns: 2},
+		{name: "beyond slots", requests: 5, shed: 3, peakRequests: 3, peakConns: 3},
+		{name: "beyond connections", conns: 2, requests: 3, peakRequests: 2, peakConns: 3},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s, c := start(t, server.Options{Slots: 2, Conns: test.conns})
 			require.NoError(t, s.SetFault(server.Fault{Kind: server.FaultStall}))
 			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
 			var group sync.WaitGroup
-			for range test.parallel {
+			for i := range 2 {
 				group.Go(func() { _, _ = get(ctx, s, c, "/") })
+				require.Eventually(t, func() bool { return s.Stats().InFlight == i+1 }, 5*time.Second, time.Millisecond)
 			}
-			assert.Eventually(t, func() bool {
-				stats := s.Stats()
-				return stats.Shed == test.shed && stats.PeakConns == test.peakConns && stats.InFlight == 2
-			}, 2*time.Second, time.Millisecond)
-			assert.Equal(t, 2+min(test.shed, 1), s.Stats().PeakRequests)
+			for range test.requests - 2 {
+				got, err := get(ctx, s, c, "/")
+				if test.conns > 0 {
+					require.Error(t, err)
+				} else {
+					require.NoError(t, err)
+					assert.Equal(t, http.StatusServiceUnavailable, got.status)
+				}
+			}
+			stats := s.Stats()
+			assert.Equal(t, test.shed, stats.Shed)
+			assert.Equal(t, test.peakRequests, stats.PeakRequests)
+			assert.Equal(t, test.peakConns, stats.PeakConns)
 			cancel()
 			group.Wait()
-			assert.Eventually(t, func() bool { return s.Stats().Aborted == 2 }, 2*time.Second, time.Millisecond,
+			assert.Eventually(t, func() bool { return s.Stats().Aborted == 2 }, 5*time.Second, time.Millisecond,
 				"a client that leaves must free its slot")
 		})
 	}
@@ -185,6 +198,8 @@
 	}{
 		{"unknown kind", "/fault", `{"kind":"bend"}`, 400, nil},
 		{"unknown field", "/fault", `{"kind":"slow","facter":2}`, 400, nil},
+		{"slow without a factor", "/fault", `{"kind":"slow"}`, 400, nil},
+		{"share above 1", "/fault", `{"kind":"fail","share":50}`, 400, nil},
 		{"misreport", "/fault", `{"kind":"none","load":7}`, 204, func(t *testing.T, s *server.Server, c *http.Client) {
 			got, err := get(t.Context(), s, c, "/")
 			require.NoError(t, err)
--- a/standin/server/times.go
+++ b/standin/server/times.go
@@ -24,7 +24,7 @@
 	u := t.rng.Float64()
 	t.mu.Unlock()
 	took := t.mean + time.Duration((2*u-1)*float64(t.jitter))
-	if number <= t.cold {
+	if number <= t.cold && t.factor > 0 {
 		took = time.Duration(float64(took) * t.factor)
 	}
 	return max(took, 0)
