--- a/standin/harness/fleet_test.go
+++ b/standin/harness/fleet_test.go
@@ -238,25 +238,32 @@
 	tests := []struct {
 		name string
 		cut  func(ctx context.Context, f *harness.Fleet) error
-		// answered says which of i1 to i2, i2 to i1, i3 to i2 and i1 to i3
-		// still get answers; a cut of one way stops the answers of both.
-		answered [4]bool
+		// answered says which of i1 to i2, i2 to i1, i3 to i2, i1 to i3, i1 to
+		// svc-2 and i1 to the platform still get answers; a cut of one way
+		// stops the answers of both.
+		answered [6]bool
 	}{
 		{"domains, one way", func(ctx context.Context, f *harness.Fleet) error {
 			return f.Cut(ctx, harness.Domain("a"), harness.Domain("b"))
-		}, [4]bool{false, false, false, true}},
+		}, [6]bool{false, false, false, true, false, true}},
 		{"instances, both ways", func(ctx context.Context, f *harness.Fleet) error {
 			return f.CutBoth(ctx, harness.Instance("i1"), harness.Instance("i2"))
-		}, [4]bool{false, false, true, true}},
+		}, [6]bool{false, false, true, true, true, true}},
 		{"within a domain", func(ctx context.Context, f *harness.Fleet) error {
 			return f.Cut(ctx, harness.Instance("i3"), harness.Instance("i1"))
-		}, [4]bool{true, true, true, false}},
+		}, [6]bool{true, true, true, false, true, true}},
+		{"from the platform", func(ctx context.Context, f *harness.Fleet) error {
+			return f.Cut(ctx, harness.Platform(), harness.Domain("a"))
+		}, [6]bool{true, true, true, true, true, false}},
+		{"to one server", func(ctx context.Context, f *harness.Fleet) error {
+			return f.Cut(ctx, harness.Domain("a"), harness.Server("svc-2"))
+		}, [6]bool{true, true, true, true, false, true}},
 		{"healed", func(ctx context.Context, f *harness.Fleet) error {
 			if err := f.CutBoth(ctx, harness.Domain("a"), harness.Domain("b")); err != nil {
 				return err
 			}
 			return f.HealAll(ctx)
-		}, [4]bool{true, true, true, true}},
+		}, [6]bool{true, true, true, true, true, true}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -271,7 +278,13 @@
 				via[string(slot)] = settingsOf(ctx, t, f, slot).Via
 			}
 			require.NoError(t, test.cut(ctx, f))
-			var got [4]bool
+			var got [6]bool
+			for _, s := range f.Servers() {
+				if s.ID == "svc-2" {
+					got[4] = answers(ctx, "http://"+string(via["i1"][s.Address])+"/")
+				}
+			}
+			got[5] = answers(ctx, settingsOf(ctx, t, f, "i1").Platform[0]+"/v1/list")
 			for i, pair := range [][2]string{{"i1", "i2"}, {"i2", "i1"}, {"i3", "i2"}, {"i1", "i3"}} {
 				got[i] = answers(ctx, "http://"+string(via[pair[0]][peers[pair[1]]])+"/ready")
 			}
--- a/standin/server/times_test.go
+++ b/standin/server/times_test.go
@@ -13,18 +13,18 @@
 	ms := time.Millisecond
 	tests := []struct {
 		name   string
-		times  serviceTimes
+		times  *serviceTimes
 		number int
 		least  time.Duration
 		most   time.Duration
 		same   bool
 	}{
-		{"fixed", serviceTimes{mean: 20 * ms}, 1, 20 * ms, 20 * ms, true},
-		{"jitter", serviceTimes{mean: 20 * ms, jitter: 5 * ms}, 1, 15 * ms, 25 * ms, false},
-		{"never negative", serviceTimes{mean: ms, jitter: 50 * ms}, 1, 0, 51 * ms, false},
-		{"cold", serviceTimes{mean: 20 * ms, cold: 3, factor: 5}, 3, 100 * ms, 100 * ms, true},
-		{"warm", serviceTimes{mean: 20 * ms, cold: 3, factor: 5}, 4, 20 * ms, 20 * ms, true},
-		{"cold without a factor", serviceTimes{mean: 20 * ms, cold: 3}, 1, 20 * ms, 20 * ms, true},
+		{"fixed", &serviceTimes{mean: 20 * ms}, 1, 20 * ms, 20 * ms, true},
+		{"jitter", &serviceTimes{mean: 20 * ms, jitter: 5 * ms}, 1, 15 * ms, 25 * ms, false},
+		{"never negative", &serviceTimes{mean: ms, jitter: 50 * ms}, 1, 0, 51 * ms, false},
+		{"cold", &serviceTimes{mean: 20 * ms, cold: 3, factor: 5}, 3, 100 * ms, 100 * ms, true},
+		{"warm", &serviceTimes{mean: 20 * ms, cold: 3, factor: 5}, 4, 20 * ms, 20 * ms, true},
+		{"cold without a factor", &serviceTimes{mean: 20 * ms, cold: 3}, 1, 20 * ms, 20 * ms, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
