--- a/core/control/documents.go
+++ b/core/control/documents.go
@@ -6,6 +6,7 @@
 
 	"galenaridge/core/config"
 	"galenaridge/core/fleet"
+	"galenaridge/core/listing"
 	"galenaridge/core/member"
 )
 
@@ -43,18 +44,28 @@
 }
 
 // offerListing adopts a list with a higher revision.
-func (n *node) offerListing(now time.Time, listing fleet.Listing) {
-	if listing.Revision <= n.listing.Revision {
+func (n *node) offerListing(now time.Time, list fleet.Listing) {
+	if list.Revision <= n.listing.Revision {
 		return
 	}
-	n.listing = listing
+	n.history = n.history.Add(listing.Between(n.listing, list))
+	n.listing = list
 	n.listingAt = now
-	n.members.SetListing(now, listing)
+	n.members.SetListing(now, list)
 	n.setWanted(now)
 	n.announceConfig(now)
 	n.changed = true
 }
 
+// offerChanges adopts the list that results from changes, unless another list
+// was adopted since they were asked for.
+func (n *node) offerChanges(now time.Time, changes listing.Delta) {
+	list, err := listing.Apply(n.listing, changes)
+	if err == nil {
+		n.offerListing(now, list)
+	}
+}
+
 // announceConfig puts the documents in force into the gossip.
 func (n *node) announceConfig(now time.Time) {
 	view := n.config.View()
@@ -108,6 +119,9 @@
 		if documents.Listing != nil {
 			n.offerListing(now, *documents.Listing)
 		}
+		if documents.Changes != nil {
+			n.offerChanges(now, *documents.Changes)
+		}
 	})
 }
 
--- a/core/control/node.go
+++ b/core/control/node.go
@@ -6,6 +6,7 @@
 
 	"galenaridge/core/config"
 	"galenaridge/core/fleet"
+	"galenaridge/core/listing"
 	"galenaridge/core/member"
 	"galenaridge/core/ownership"
 )
@@ -23,6 +24,7 @@
 	// servers maps each listed server of a configured service to its entry.
 	servers map[fleet.ServerID]fleet.ListedServer
 	listing fleet.Listing
+	history listing.History
 
 	self       fleet.Member
 	generation uint64
@@ -143,6 +145,7 @@
 		Owners:     n.owners.View(),
 		Config:     n.config.View(),
 		Listing:    n.listing,
+		History:    n.history,
 		Services:   services,
 		ConfigAt:   n.configAt,
 		ListingAt:  n.listingAt,
--- a/core/control/options.go
+++ b/core/control/options.go
@@ -7,6 +7,7 @@
 	"galenaridge/core/config"
 	"galenaridge/core/fleet"
 	"galenaridge/core/floor"
+	"galenaridge/core/listing"
 	"galenaridge/core/member"
 	"galenaridge/core/ownership"
 )
@@ -65,10 +66,12 @@
 }
 
 // Documents are the configuration and the platform's list as one instance has
-// them; a nil pointer means that the receiver already has it.
+// them; a nil pointer means that the receiver already has it. The list comes
+// whole or as the changes since the receiver's revision.
 type Documents struct {
 	Config  *config.Document
 	Listing *fleet.Listing
+	Changes *listing.Delta
 }
 
 // Options set up a Loop.
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -8,6 +8,7 @@
 	"galenaridge/core/fleet"
 	"galenaridge/core/floor"
 	"galenaridge/core/health"
+	"galenaridge/core/listing"
 	"galenaridge/core/member"
 	"galenaridge/core/ownership"
 	"galenaridge/core/retry"
@@ -20,6 +21,8 @@
 	Owners  ownership.View
 	Config  *config.View
 	Listing fleet.Listing
+	// History holds the latest changes of the listing.
+	History listing.History
 	// Services holds all configured services.
 	Services map[fleet.ServiceName]*Service
 	// ConfigAt and ListingAt are when the documents in force were adopted.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -16,6 +16,7 @@
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
 	"galenaridge/core/floor"
+	"galenaridge/core/listing"
 	"galenaridge/core/member"
 	"galenaridge/core/once"
 	"galenaridge/core/ownership"
@@ -262,11 +263,18 @@
 		documents.Config = &decoded
 	}
 	if len(got.GetListing()) > 0 {
-		var listing fleet.Listing
-		if err := json.Unmarshal(got.GetListing(), &listing); err != nil {
+		var list fleet.Listing
+		if err := json.Unmarshal(got.GetListing(), &list); err != nil {
 			return control.Documents{}, wrap(err, "decode a listing from a peer")
 		}
-		documents.Listing = &listing
+		documents.Listing = &list
+	}
+	if len(got.GetChanges()) > 0 {
+		var changes listing.Delta
+		if err := json.Unmarshal(got.GetChanges(), &changes); err != nil {
+			return control.Documents{}, wrap(err, "decode changes of the listing from a peer")
+		}
+		documents.Changes = &changes
 	}
 	return documents, nil
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -164,15 +164,27 @@
 		reply.Document = encoded
 	}
 	if in.GetKnownRevision() < uint64(view.Listing.Revision) {
-		encoded, err := json.Marshal(view.Listing)
-		if err != nil {
+		if err := addListing(reply, view, fleet.Revision(in.GetKnownRevision())); err != nil {
 			return nil, status.Error(codes.Internal, err.Error())
 		}
-		reply.Listing = encoded
 	}
 	return reply, nil
 }
 
+// addListing adds the changes of the list since a revision, or the whole list
+// if they are not known.
+func addListing(reply *peerpb.FetchReply, view *control.View, known fleet.Revision) error {
+	changes, found := view.History.Since(known)
+	if found {
+		encoded, err := json.Marshal(changes)
+		reply.Changes = encoded
+		return err
+	}
+	encoded, err := json.Marshal(view.Listing)
+	reply.Listing = encoded
+	return err
+}
+
 // Mint implements peerpb.PeerServer.
 func (s *Server) Mint(_ context.Context, in *peerpb.MintRequest) (*peerpb.MintReply, error) {
 	token, err := s.options.Traffic.Mint(fleet.ServiceName(in.GetService()))
