--- a/core/floor/commands.go
+++ b/core/floor/commands.go
@@ -1,13 +1,23 @@
 package floor
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"galenaridge/core/fleet"
 )
 
-// Life is how long a permit and a report are valid.
-const Life = 3 * time.Second
+const (
+	// Life is how long a permit and a report are valid.
+	Life = 3 * time.Second
+	// ownerLife is how long the sequence of a silent owner is remembered, longer
+	// than a report can be on its way.
+	ownerLife = time.Minute
+	// incumbency multiplies the badness of a server that holds a permit, so
+	// that permits do not change hands over small differences.
+	incumbency = 1.5
+)
 
 // Sequence numbers the reports of one owner; a later report has a higher one.
 type Sequence uint64
@@ -51,29 +61,152 @@
 
 // Steward grants the ejection permits of one service. It belongs to the
 // control goroutine of the owner of the service's floor resource.
-type Steward struct{}
+type Steward struct {
+	floor   fleet.Servers
+	active  bool
+	lease   time.Time
+	grants  time.Time
+	owners  map[fleet.Member]*owner
+	permits map[fleet.ServerID]Permit
+}
+
+// owner is what the steward knows of one owner.
+type owner struct {
+	sequence Sequence
+	at       time.Time
+	usable   fleet.Servers
+	wishes   []Wish
+	median   time.Duration
+}
 
 // NewSteward returns a steward that grants nothing before Become.
-func NewSteward(floor fleet.Servers) *Steward { return &Steward{} }
+func NewSteward(floor fleet.Servers) *Steward {
+	return &Steward{
+		floor:   floor,
+		owners:  make(map[fleet.Member]*owner),
+		permits: make(map[fleet.ServerID]Permit),
+	}
+}
 
-// Become starts the stewardship; nothing is granted for one Life from now.
-func (s *Steward) Become(now time.Time) {}
+// Become starts the stewardship; nothing is granted for one Life from now, as
+// the permits of the steward before may last as long.
+func (s *Steward) Become(now time.Time) {
+	if s.active {
+		return
+	}
+	s.active = true
+	s.grants = now.Add(Life)
+	clear(s.owners)
+	clear(s.permits)
+}
 
 // Resign ends the stewardship.
-func (s *Steward) Resign() {}
+func (s *Steward) Resign() {
+	s.active = false
+	s.grants = time.Time{}
+}
 
-// Extend records until when the steward's lease is valid.
-func (s *Steward) Extend(lease time.Time) {}
+// Extend records until when the steward's lease is valid. The lease ends
+// before another instance can become the steward.
+func (s *Steward) Extend(lease time.Time) { s.lease = lease }
 
 // SetFloor takes a changed floor from the configuration.
-func (s *Steward) SetFloor(floor fleet.Servers) {}
+func (s *Steward) SetFloor(floor fleet.Servers) { s.floor = floor }
+
+// Receive takes a report and grants what the floor allows. It must be called
+// with the time at which it runs, not that at which the report came: an
+// instance that was paused in between may have lost its lease.
+func (s *Steward) Receive(now time.Time, report Report) Reply {
+	reply := Reply{Sequence: report.Sequence}
+	if !s.active || !now.Before(s.lease) {
+		return reply
+	}
+	s.Tick(now)
+	if !s.store(now, &report) {
+		return reply
+	}
+	reply.Median = s.median()
+	if now.Before(s.grants) {
+		return reply
+	}
+	reply.Ready = true
+	reply.Granted = s.grant(now, &report)
+	return reply
+}
+
+// store keeps a report, and tells whether it is newer than the one before.
+// An older one must not undo it: its release would free a permit in use.
+func (s *Steward) store(now time.Time, report *Report) bool {
+	known, found := s.owners[report.From]
+	if found && report.Sequence <= known.sequence {
+		return false
+	}
+	s.owners[report.From] = &owner{
+		sequence: report.Sequence,
+		at:       now,
+		usable:   report.Usable,
+		wishes:   slices.Clone(report.Wishes),
+		median:   report.Median,
+	}
+	for _, id := range report.Released {
+		if s.permits[id].Owner == report.From {
+			delete(s.permits, id)
+		}
+	}
+	return true
+}
 
-// Receive takes a report and grants what the floor allows.
-func (s *Steward) Receive(now time.Time, report Report) Reply { return Reply{} }
+// grant renews or gives the permits that a report wishes for.
+func (s *Steward) grant(now time.Time, report *Report) []fleet.ServerID {
+	budget := s.usable() - s.floor
+	entitled := s.entitled(budget)
+	var granted []fleet.ServerID
+	for _, wish := range report.Wishes {
+		if !entitled[wish.Server] {
+			continue
+		}
+		_, held := s.permits[wish.Server]
+		if !held && fleet.Servers(len(s.permits)) >= budget {
+			continue
+		}
+		s.permits[wish.Server] = Permit{
+			Server:  wish.Server,
+			Owner:   report.From,
+			Badness: wish.Badness,
+			Expires: now.Add(Life),
+		}
+		granted = append(granted, wish.Server)
+	}
+	return granted
+}
 
 // Tick drops reports and permits whose life has passed, and returns the
 // servers whose permits expired.
-func (s *Steward) Tick(now time.Time) []fleet.ServerID { return nil }
+func (s *Steward) Tick(now time.Time) []fleet.ServerID {
+	for member, o := range s.owners {
+		if now.Sub(o.at) >= ownerLife {
+			delete(s.owners, member)
+		} else if now.Sub(o.at) >= Life {
+			o.usable, o.wishes, o.median = 0, nil, 0
+		}
+	}
+	var expired []fleet.ServerID
+	for id, permit := range s.permits {
+		if !now.Before(permit.Expires) {
+			delete(s.permits, id)
+			expired = append(expired, id)
+		}
+	}
+	slices.Sort(expired)
+	return expired
+}
 
-// Publish returns an immutable copy for operators.
-func (s *Steward) Publish() StewardView { return StewardView{} }
+// rankWishes orders wishes from the worst server to the least bad one.
+func rankWishes(wishes []Wish) {
+	slices.SortFunc(wishes, func(a, b Wish) int {
+		if c := cmp.Compare(b.Badness, a.Badness); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Server, b.Server)
+	})
+}
--- a/core/floor/queries.go
+++ b/core/floor/queries.go
@@ -1,11 +1,65 @@
 package floor
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"galenaridge/core/fleet"
 )
 
+// usable returns the sum over the reports that are still valid.
+func (s *Steward) usable() fleet.Servers {
+	sum := fleet.Servers(0)
+	for _, o := range s.owners {
+		sum += o.usable
+	}
+	return sum
+}
+
+// entitled returns the worst servers that are wished for, as many as the
+// budget allows.
+func (s *Steward) entitled(budget fleet.Servers) map[fleet.ServerID]bool {
+	worst := make(map[fleet.ServerID]float64)
+	for _, o := range s.owners {
+		for _, wish := range o.wishes {
+			badness := wish.Badness
+			if _, held := s.permits[wish.Server]; held {
+				badness *= incumbency
+			}
+			worst[wish.Server] = max(worst[wish.Server], badness)
+		}
+	}
+	ranked := make([]Wish, 0, len(worst))
+	for id, badness := range worst {
+		ranked = append(ranked, Wish{Server: id, Badness: badness})
+	}
+	rankWishes(ranked)
+	count := min(max(int(budget), 0), len(ranked))
+	entitled := make(map[fleet.ServerID]bool, count)
+	for _, wish := range ranked[:count] {
+		entitled[wish.Server] = true
+	}
+	return entitled
+}
+
+// median returns the median of the medians that owners reported; zero if
+// there are none.
+func (s *Steward) median() time.Duration {
+	medians := make([]time.Duration, 0, len(s.owners))
+	for _, o := range s.owners {
+		if o.median > 0 {
+			medians = append(medians, o.median)
+		}
+	}
+	if len(medians) == 0 {
+		return 0
+	}
+	slices.Sort(medians)
+	return medians[len(medians)/2]
+}
+
 // StewardView is an immutable copy of a steward's state.
 type StewardView struct {
 	Floor fleet.Servers
@@ -25,14 +79,68 @@
 	Expires time.Time
 }
 
+// Publish returns an immutable copy for operators.
+func (s *Steward) Publish() StewardView {
+	return StewardView{
+		Floor:   s.floor,
+		Usable:  s.usable(),
+		Permits: sortedPermits(s.permits),
+		Grants:  s.grants,
+	}
+}
+
 // Spare returns how many more servers may be ejected.
-func (v StewardView) Spare() fleet.Servers { return 0 }
+func (v StewardView) Spare() fleet.Servers {
+	return max(v.Usable-v.Floor-fleet.Servers(len(v.Permits)), 0)
+}
+
+// settled returns how many servers are usable and owned for long enough.
+func (h *Holder) settled(now time.Time) fleet.Servers {
+	count := fleet.Servers(0)
+	for _, since := range h.usableSince {
+		if now.Sub(since) >= Settle {
+			count++
+		}
+	}
+	return count
+}
+
+// releasedAfter reports whether a later report, or the next one, gives back
+// the permit for a server. A grant for the earlier report is void then, as
+// the steward may already have given the permit to another owner.
+func (h *Holder) releasedAfter(sequence Sequence, id fleet.ServerID) bool {
+	if _, pending := h.releases[id]; pending {
+		return true
+	}
+	return slices.ContainsFunc(h.sent, func(r sentReport) bool {
+		return r.sequence > sequence && slices.Contains(r.released, id)
+	})
+}
 
 // HolderView is an immutable copy of the permits that an owner holds.
-type HolderView struct{}
+type HolderView struct {
+	permits []Permit
+}
+
+// Publish returns an immutable copy of the permits.
+func (h *Holder) Publish() HolderView {
+	return HolderView{permits: sortedPermits(h.permits)}
+}
 
 // Valid reports whether the owner may eject the server at this time.
-func (v HolderView) Valid(server fleet.ServerID, now time.Time) bool { return false }
+func (v HolderView) Valid(id fleet.ServerID, now time.Time) bool {
+	i, found := slices.BinarySearchFunc(v.permits, id, func(p Permit, id fleet.ServerID) int {
+		return cmp.Compare(p.Server, id)
+	})
+	return found && now.Before(v.permits[i].Expires)
+}
 
 // Permits returns the permits in order of server.
-func (v HolderView) Permits() []Permit { return nil }
+func (v HolderView) Permits() []Permit { return slices.Clone(v.permits) }
+
+// sortedPermits returns permits in order of server.
+func sortedPermits(permits map[fleet.ServerID]Permit) []Permit {
+	return slices.SortedFunc(maps.Values(permits), func(a, b Permit) int {
+		return cmp.Compare(a.Server, b.Server)
+	})
+}
