--- a/core/admission/commands.go
+++ b/core/admission/commands.go
@@ -2,11 +2,28 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"galenaridge/core/fleet"
 )
 
+const (
+	// defaultQueue is enough for the longest deadline of 5 s at 4 slots on 10
+	// servers and a service time of 100 ms.
+	defaultQueue = 2048
+	// defaultService is assumed before a service time is measured.
+	defaultService = 50 * time.Millisecond
+	// meanWeight is the inverse weight of one service time in the mean.
+	meanWeight = 32
+	// minAfter and maxAfter bound the time after which a refused request may
+	// be sent again.
+	minAfter = 50 * time.Millisecond
+	maxAfter = 5 * time.Second
+)
+
 // Options configures a pool; zero values take the defaults.
 type Options struct {
 	// Queue is how many requests may wait; tenants share it by weight.
@@ -33,16 +50,41 @@
 	Idempotent bool
 	// Deadline is when the whole response is due; zero if there is none.
 	Deadline time.Time
-	// Exclude lists servers that earlier attempts of the request used.
+	// Exclude lists servers that earlier attempts of the request used. It must
+	// not change while the request waits.
 	Exclude []fleet.ServerID
 }
 
 // Pool hands out the slots of the owned servers of one service. All methods
 // may be called concurrently.
-type Pool struct{}
+type Pool struct {
+	clock fleet.Clock
+	size  int
+	// load is the packed result of Load.
+	load atomic.Uint64
+
+	mu      sync.Mutex
+	servers servers
+	queue   queue
+	mean    time.Duration
+}
 
 // New returns a pool without servers.
-func New(clock fleet.Clock, options Options) *Pool { return &Pool{} }
+func New(clock fleet.Clock, options Options) *Pool {
+	if options.Queue <= 0 {
+		options.Queue = defaultQueue
+	}
+	if options.Service <= 0 {
+		options.Service = defaultService
+	}
+	return &Pool{
+		clock:   clock,
+		size:    options.Queue,
+		servers: servers{byID: make(map[fleet.ServerID]*server)},
+		queue:   queue{tenants: make(map[fleet.Tenant]*tenant)},
+		mean:    options.Service,
+	}
+}
 
 // Grant is the right to run one request on a slot of a server.
 type Grant struct {
@@ -51,28 +93,164 @@
 	Slot int
 	// Waited is the time in the queue.
 	Waited time.Duration
+
+	pool     *Pool
+	server   *server
+	since    time.Time
+	released bool
 }
 
 // Acquire waits for a slot. Its context should end at the deadline of the
 // request. The errors have the predicates Overloaded, IsExpired, IsCanceled,
 // IsNoCapacity and IsDrained; with each of them nothing was run.
-func (p *Pool) Acquire(ctx context.Context, ask Ask) (*Grant, error) { return nil, errNoCapacity }
+func (p *Pool) Acquire(ctx context.Context, ask Ask) (*Grant, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, translate(err)
+	}
+	grant, w, err := p.enter(p.clock.Now(), &ask)
+	if w == nil {
+		return grant, err
+	}
+	select {
+	case <-w.ready:
+		return w.grant, w.err
+	case <-ctx.Done():
+		p.abandon(w)
+		return nil, translate(ctx.Err())
+	}
+}
+
+// translate returns the error of this package for one of a context.
+func translate(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return errExpired
+	}
+	return errCanceled
+}
+
+// enter grants a slot at once, queues the request, or refuses it.
+func (p *Pool) enter(now time.Time, ask *Ask) (*Grant, *waiter, error) {
+	p.mu.Lock()
+	defer p.unlock()
+	if ask.expired(now) {
+		return nil, nil, errExpired
+	}
+	if err := p.servers.refusal(ask); err != nil {
+		return nil, nil, err
+	}
+	if s := p.immediate(ask); s != nil {
+		return p.grant(now, now, s), nil, nil
+	}
+	if err := p.overloaded(now, ask); err != nil {
+		return nil, nil, err
+	}
+	w := &waiter{ask: *ask, since: now, ready: make(chan struct{})}
+	p.queue.push(w)
+	p.dispatch(now)
+	return nil, w, nil
+}
+
+// grant takes a slot of a server that has a free one.
+func (p *Pool) grant(now, since time.Time, s *server) *Grant {
+	g := &Grant{Server: s.id, Waited: now.Sub(since), pool: p, server: s, since: now}
+	p.servers.update(s, func(s *server) { g.Slot = s.take() })
+	return g
+}
+
+// dispatch gives free slots to waiting requests.
+func (p *Pool) dispatch(now time.Time) {
+	p.queue.dispatch(now, &p.servers, func(w *waiter, s *server) *Grant {
+		return p.grant(now, w.since, s)
+	})
+}
+
+// unlock publishes the load and ends the critical section.
+func (p *Pool) unlock() {
+	p.load.Store(packLoad(p.servers.slots+p.servers.trials, p.servers.busy, p.queue.waiting))
+	p.mu.Unlock()
+}
+
+// abandon gives up on a waiting request. It may have been granted a slot at
+// the same moment, which then goes to the next one.
+func (p *Pool) abandon(w *waiter) {
+	p.mu.Lock()
+	queued := w.element != nil
+	if queued {
+		p.queue.remove(w)
+	}
+	p.unlock()
+	if !queued && w.grant != nil {
+		w.grant.Release()
+	}
+}
 
 // Release gives the slot back; only the first call has an effect.
-func (g *Grant) Release() {}
+func (g *Grant) Release() {
+	p := g.pool
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.unlock()
+	if g.released {
+		return
+	}
+	g.released = true
+	p.mean += (now.Sub(g.since) - p.mean) / meanWeight
+	p.servers.update(g.server, func(s *server) { s.busy &^= 1 << g.Slot })
+	p.dispatch(now)
+}
 
 // SetServers replaces the list of servers. Requests in flight on a server
 // that is no longer listed keep their slots until they end.
-func (p *Pool) SetServers(servers []ServerSlots) {}
+func (p *Pool) SetServers(listed []ServerSlots) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.unlock()
+	p.servers.set(listed)
+	p.queue.sweep(p.servers.refusal)
+	p.dispatch(now)
+}
 
 // Drain ends new work on a server, and closes the channel when no request is
 // in flight on it. The server takes work again only after Resume, or after it
 // was missing from a call of SetServers.
-func (p *Pool) Drain(server fleet.ServerID) <-chan struct{} { return nil }
+func (p *Pool) Drain(id fleet.ServerID) <-chan struct{} {
+	idle := make(chan struct{})
+	p.mu.Lock()
+	defer p.unlock()
+	s, known := p.servers.byID[id]
+	if !known {
+		close(idle)
+		return idle
+	}
+	if s.idle != nil {
+		idle = s.idle
+	}
+	p.servers.update(s, func(s *server) { s.draining, s.idle = true, idle })
+	p.queue.sweep(p.servers.refusal)
+	return idle
+}
 
 // Resume undoes Drain.
-func (p *Pool) Resume(server fleet.ServerID) {}
+func (p *Pool) Resume(id fleet.ServerID) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.unlock()
+	if s, known := p.servers.byID[id]; known {
+		p.servers.update(s, func(s *server) { s.draining = false })
+		p.dispatch(now)
+	}
+}
 
 // Expire refuses waiting requests whose deadline has passed. The control
 // goroutine calls it on its tick.
-func (p *Pool) Expire(now time.Time) {}
+func (p *Pool) Expire(now time.Time) {
+	p.mu.Lock()
+	defer p.unlock()
+	p.queue.sweep(func(ask *Ask) error {
+		if ask.expired(now) {
+			return errExpired
+		}
+		return nil
+	})
+	p.dispatch(now)
+}
--- /dev/null
+++ b/core/admission/pool_test.go
@@ -0,0 +1,289 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// newPool returns a pool of servers named a, b, ... with two slots each.
+func newPool(clock fleet.Clock, uses ...Use) *Pool {
+	p := New(clock, Options{Queue: 8, Service: 100 * time.Millisecond})
+	var listed []ServerSlots
+	for i, use := range uses {
+		listed = append(listed, ServerSlots{Server: fleet.ServerID(rune('a' + i)), Slots: 2, Use: use})
+	}
+	p.SetServers(listed)
+	return p
+}
+
+// TestChoice guards against requests on servers that must not get them.
+func TestChoice(t *testing.T) {
+	tests := []struct {
+		name  string
+		uses  []Use
+		ask   Ask
+		wants []fleet.ServerID
+		err   func(error) bool
+	}{
+		{"spreads over servers", []Use{Normal, Normal}, Ask{}, []fleet.ServerID{"a", "b"}, nil},
+		{"last resort comes last", []Use{LastResort, Normal}, Ask{}, []fleet.ServerID{"b", "b", "a", "a"}, nil},
+		{"trial gets one idempotent request", []Use{Trial, Normal}, Ask{Idempotent: true}, []fleet.ServerID{"a", "b", "b"}, nil},
+		{"trial gets no other request", []Use{Trial, Normal}, Ask{}, []fleet.ServerID{"b", "b"}, nil},
+		{"excluded servers get none", []Use{Normal, Normal}, Ask{Exclude: []fleet.ServerID{"a"}}, []fleet.ServerID{"b", "b"}, nil},
+		{"all excluded", []Use{Normal}, Ask{Exclude: []fleet.ServerID{"a"}}, nil, IsNoCapacity},
+		{"no server takes work", []Use{None}, Ask{}, nil, IsNoCapacity},
+		{"only a trial server", []Use{Trial}, Ask{Protected: true}, nil, IsNoCapacity},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(clockwork.NewFakeClock(), test.uses...)
+			var got []fleet.ServerID
+			for range test.wants {
+				g, err := p.Acquire(t.Context(), test.ask)
+				require.NoError(t, err)
+				got = append(got, g.Server)
+			}
+			require.ElementsMatch(t, test.wants, got)
+			if len(got) > 2 {
+				require.Equal(t, test.wants, got)
+			}
+			if test.err != nil {
+				_, err := p.Acquire(t.Context(), test.ask)
+				require.True(t, test.err(err), "%v", err)
+			}
+		})
+	}
+}
+
+// TestRefusal guards against requests that wait in vain, and against a tenant
+// that takes the whole queue.
+func TestRefusal(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	soon := clock.Now().Add(140 * time.Millisecond)
+	later := clock.Now().Add(160 * time.Millisecond)
+	tests := []struct {
+		name    string
+		waiting []Ask
+		ask     Ask
+		after   time.Duration
+	}{
+		{"deadline too soon", nil, Ask{Deadline: soon}, 50 * time.Millisecond},
+		{"deadline fits", nil, Ask{Deadline: later}, 0},
+		{"own requests ahead", []Ask{{}}, Ask{Deadline: later}, 100 * time.Millisecond},
+		{"protected goes first", []Ask{{}}, Ask{Protected: true, Deadline: later}, 0},
+		{"heavy tenant ahead", []Ask{{Tenant: "x"}, {Tenant: "x"}, {Tenant: "x"}, {Tenant: "x"}}, Ask{Deadline: later.Add(50 * time.Millisecond)}, 0},
+		{"share of the queue", []Ask{{Tenant: "x"}, {}, {}, {}, {}}, Ask{}, 300 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(clock, Normal)
+			for range 2 {
+				_, _, err := p.enter(clock.Now(), &Ask{})
+				require.NoError(t, err)
+			}
+			for _, ask := range test.waiting {
+				_, _, err := p.enter(clock.Now(), &ask)
+				require.NoError(t, err)
+			}
+			_, _, err := p.enter(clock.Now(), &test.ask)
+			after, overloaded := Overloaded(err)
+			require.Equal(t, test.after > 0, overloaded, "%v", err)
+			require.Equal(t, test.after, after)
+		})
+	}
+}
+
+// TestWaiting guards against a waiter that is not told how its wait ended, or
+// that keeps a slot it no longer wants.
+func TestWaiting(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(p *Pool, clock *clockwork.FakeClock, first *Grant, cancel func())
+		ok   func(error) bool
+	}{
+		{"release", func(_ *Pool, _ *clockwork.FakeClock, first *Grant, _ func()) { first.Release() }, func(err error) bool { return err == nil }},
+		{"cancel", func(_ *Pool, _ *clockwork.FakeClock, _ *Grant, cancel func()) { cancel() }, IsCanceled},
+		{"expire", func(p *Pool, clock *clockwork.FakeClock, _ *Grant, _ func()) {
+			clock.Advance(time.Second)
+			p.Expire(clock.Now())
+		}, IsExpired},
+		{"expired before release", func(_ *Pool, clock *clockwork.FakeClock, first *Grant, _ func()) {
+			clock.Advance(time.Second)
+			first.Release()
+		}, IsExpired},
+		{"drain", func(p *Pool, _ *clockwork.FakeClock, _ *Grant, _ func()) { p.Drain("a") }, IsDrained},
+		{"no servers", func(p *Pool, _ *clockwork.FakeClock, _ *Grant, _ func()) { p.SetServers(nil) }, IsNoCapacity},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := newPool(clock, Normal)
+			first, err := p.Acquire(t.Context(), Ask{})
+			require.NoError(t, err)
+			second, err := p.Acquire(t.Context(), Ask{})
+			require.NoError(t, err)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var group conc.WaitGroup
+			var result error
+			group.Go(func() {
+				var g *Grant
+				g, result = p.Acquire(ctx, Ask{Deadline: clock.Now().Add(time.Second)})
+				if g != nil {
+					g.Release()
+				}
+			})
+			require.Eventually(t, func() bool { return p.Load().Queued == 1 }, time.Second, time.Millisecond)
+			test.end(p, clock, first, cancel)
+			group.Wait()
+			require.True(t, test.ok(result), "%v", result)
+			first.Release()
+			second.Release()
+			second.Release()
+			require.Zero(t, p.Load().Busy+fleet.Slots(p.Load().Queued))
+		})
+	}
+}
+
+// TestDrain guards against a notification before the last request ended.
+func TestDrain(t *testing.T) {
+	p := newPool(clockwork.NewFakeClock(), Normal, Normal)
+	g, err := p.Acquire(t.Context(), Ask{Exclude: []fleet.ServerID{"b"}})
+	require.NoError(t, err)
+	idle := p.Drain("a")
+	require.Equal(t, idle, p.Drain("a"))
+	p.SetServers([]ServerSlots{{Server: "b", Slots: 2, Use: Normal}})
+	select {
+	case <-idle:
+		require.Fail(t, "drained with a request in flight")
+	default:
+	}
+	g.Release()
+	<-idle
+	<-p.Drain("unknown")
+	require.Equal(t, exchange.Load{Slots: 2}, p.Load())
+}
+
+// TestFairness guards against tenants that get more than their weight, and
+// against unprotected requests that pass protected ones.
+func TestFairness(t *testing.T) {
+	tests := []struct {
+		name    string
+		weights []int
+	}{
+		{"equal", []int{1, 1, 1}},
+		{"weighted", []int{1, 2, 5}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := New(clock, Options{Queue: 1 << 20})
+			p.SetServers([]ServerSlots{{Server: "a", Slots: 1, Use: Normal}})
+			g, _, err := p.enter(clock.Now(), &Ask{})
+			require.NoError(t, err)
+			total := 0
+			var waiters []*waiter
+			for i, weight := range test.weights {
+				total += weight
+				for n := range 1000 {
+					ask := Ask{Tenant: fleet.Tenant(fmt.Sprint(i)), Weight: weight, Protected: n%2 == 1}
+					_, w, err := p.enter(clock.Now(), &ask)
+					require.NoError(t, err)
+					waiters = append(waiters, w)
+				}
+			}
+			// While all tenants have requests, each gets its weight per round.
+			rounds := 1000 / test.weights[len(test.weights)-1] / 2
+			granted := make([]int, len(test.weights))
+			for range rounds * total {
+				g.Release()
+				for _, w := range waiters {
+					if w.grant != nil && !w.grant.released {
+						g = w.grant
+						require.True(t, w.ask.Protected)
+						granted[w.ask.Tenant[0]-'0']++
+						break
+					}
+				}
+			}
+			for i, weight := range test.weights {
+				require.Equal(t, rounds*weight, granted[i])
+			}
+		})
+	}
+}
+
+// TestConcurrentSlots guards against more requests on a server than it has
+// slots while many goroutines ask and the servers change.
+func TestConcurrentSlots(t *testing.T) {
+	p := New(clockwork.NewRealClock(), Options{Service: time.Millisecond})
+	var used [3][4]atomic.Bool
+	listed := func(n int) []ServerSlots {
+		var s []ServerSlots
+		for i := range n {
+			s = append(s, ServerSlots{Server: fleet.ServerID(fmt.Sprint(i)), Slots: 4, Use: Normal})
+		}
+		return s
+	}
+	p.SetServers(listed(3))
+	var served atomic.Int64
+	var group conc.WaitGroup
+	for i := range 40 {
+		group.Go(func() {
+			for n := range 100 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%4+1)*time.Millisecond)
+				g, err := p.Acquire(ctx, Ask{Tenant: fleet.Tenant(fmt.Sprint(i % 3)), Idempotent: n%2 == 0})
+				if err == nil {
+					slot := &used[g.Server[0]-'0'][g.Slot]
+					if slot.Swap(true) {
+						t.Error("a slot was granted twice")
+					}
+					time.Sleep(100 * time.Microsecond)
+					slot.Store(false)
+					served.Add(1)
+					g.Release()
+				}
+				cancel()
+			}
+		})
+	}
+	for n := range 50 {
+		p.SetServers(listed(1 + n%3))
+		time.Sleep(time.Millisecond)
+	}
+	p.SetServers(listed(3))
+	group.Wait()
+	require.Equal(t, exchange.Load{Slots: 12}, p.Load())
+	t.Logf("%d of 4000 requests served", served.Load())
+}
+
+// BenchmarkAcquire reports the cost of a slot without waiting.
+func BenchmarkAcquire(b *testing.B) {
+	for _, count := range []int{1, 30, 300} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			p := New(clockwork.NewRealClock(), Options{})
+			var listed []ServerSlots
+			for i := range count {
+				listed = append(listed, ServerSlots{Server: fleet.ServerID(fmt.Sprint(i)), Slots: 4, Use: Normal})
+			}
+			p.SetServers(listed)
+			for b.Loop() {
+				g, _ := p.Acquire(context.Background(), Ask{})
+				g.Release()
+			}
+		})
+	}
+}
