Let the demo wait until the steward counts all servers

Cause: the stalled server stayed suspect for 1 s, because the steward counts a server only after its owner has held it for 6 s and the fault came 5 s after the start, so the floor left no budget yet (trace of reports and replies). Change: the demo waits 7 s before its load; the rule of the steward stays.

--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -40,8 +40,9 @@
 	loadFor = 21 * time.Second
 	// readyTimeout bounds the start of the fleet.
 	readyTimeout = 15 * time.Second
-	// settle lets owners claim their servers before the load begins.
-	settle = 3 * time.Second
+	// settle lets owners claim their servers, and lets the steward count them:
+	// it counts a server only after its new owner has held it for 6 s.
+	settle = 7 * time.Second
 )
 
 // perSecond is a load that the servers bear with the faults.
