--- a/core/retry/commands.go
+++ b/core/retry/commands.go
@@ -1,22 +1,66 @@
 package retry
 
+import "sync/atomic"
+
+const (
+	// unit is the number of budget units in one token.
+	unit = 10
+	// earned is what a first attempt earns in units: a tenth of a token, as a
+	// failing upstream must see at most a tenth more load.
+	earned = 1
+	// defaultInitial lets the first failures after a start be retried.
+	defaultInitial = 3
+	// defaultCap bounds the burst of retries when a busy upstream fails.
+	defaultCap = 10
+)
+
 // Options configures a budget; zero values take the defaults.
 type Options struct {
 	// Initial is the allowance at the start in tokens.
-	Initial float64
+	Initial int
 	// Cap is the largest number of tokens.
-	Cap float64
+	Cap int
 }
 
 // Budget limits retries to a share of first attempts. All methods may be
 // called concurrently.
-type Budget struct{}
+type Budget struct {
+	units atomic.Int64
+	limit int64
+}
 
 // NewBudget returns a budget with its initial allowance.
-func NewBudget(options Options) *Budget { return &Budget{} }
+func NewBudget(options Options) *Budget {
+	if options.Initial <= 0 {
+		options.Initial = defaultInitial
+	}
+	if options.Cap <= 0 {
+		options.Cap = defaultCap
+	}
+	b := &Budget{limit: int64(options.Cap) * unit}
+	b.units.Store(min(int64(options.Initial)*unit, b.limit))
+	return b
+}
 
 // Earn records a first attempt.
-func (b *Budget) Earn() {}
+func (b *Budget) Earn() {
+	for {
+		old := b.units.Load()
+		if old >= b.limit || b.units.CompareAndSwap(old, min(old+earned, b.limit)) {
+			return
+		}
+	}
+}
 
 // Spend takes a token for a retry and reports whether there was one.
-func (b *Budget) Spend() bool { return false }
+func (b *Budget) Spend() bool {
+	for {
+		old := b.units.Load()
+		if old < unit {
+			return false
+		}
+		if b.units.CompareAndSwap(old, old-unit) {
+			return true
+		}
+	}
+}
--- a/core/retry/queries.go
+++ b/core/retry/queries.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// MaxAttempts is the largest number of attempts for one request. More would
+// rarely end before the deadline and use up the budget of other requests.
+const MaxAttempts = 3
+
 // Attempt holds the facts about an attempt that ended.
 type Attempt struct {
 	// Answered says that the attempt gave an answer to pass on.
@@ -19,4 +23,20 @@
 }
 
 // Decide says whether another attempt is right, leaving the budget aside.
-func Decide(a Attempt) Decision { return Answered }
+func Decide(a Attempt) Decision {
+	switch {
+	case a.Answered:
+		return Answered
+	case a.Written && !a.Idempotent:
+		return MayHaveRun
+	case a.Made >= MaxAttempts:
+		return TooManyAttempts
+	case a.Left <= 0 || a.Left < a.Expected:
+		return TooLate
+	default:
+		return Again
+	}
+}
+
+// Tokens returns the whole tokens in the budget.
+func (b *Budget) Tokens() int { return int(b.units.Load() / unit) }
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,71 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestDecide guards against running a protected request twice and against
+// attempts that cannot help.
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name    string
+		attempt Attempt
+		want    Decision
+	}{
+		{"answered", Attempt{Answered: true, Idempotent: true, Made: 1, Left: time.Second}, Answered},
+		{"protected and written", Attempt{Written: true, Made: 1, Left: time.Second}, MayHaveRun},
+		{"protected and not written", Attempt{Made: 1, Left: time.Second}, Again},
+		{"idempotent and written", Attempt{Idempotent: true, Written: true, Made: 2, Left: time.Second}, Again},
+		{"third attempt", Attempt{Idempotent: true, Made: 3, Left: time.Second}, TooManyAttempts},
+		{"no time", Attempt{Idempotent: true, Made: 1}, TooLate},
+		{"too little time", Attempt{Idempotent: true, Made: 1, Left: time.Second, Expected: 2 * time.Second}, TooLate},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.want, Decide(test.attempt))
+		})
+	}
+}
+
+// TestBudget guards against retries beyond a tenth of first attempts.
+func TestBudget(t *testing.T) {
+	tests := []struct {
+		name    string
+		options Options
+		firsts  int
+		want    int
+	}{
+		{"initial allowance", Options{}, 0, 3},
+		{"no token below ten attempts", Options{Initial: 1}, 9, 1},
+		{"a tenth", Options{Initial: 1, Cap: 1000}, 1000, 101},
+		{"cap", Options{}, 1000, 10},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := NewBudget(test.options)
+			for range test.firsts {
+				b.Earn()
+			}
+			require.Equal(t, test.want, b.Tokens())
+			spent := 0
+			for b.Spend() {
+				spent++
+			}
+			require.Equal(t, test.want, spent)
+		})
+	}
+}
+
+// TestNoAllocation guards the path of each request against allocations.
+func TestNoAllocation(t *testing.T) {
+	b := NewBudget(Options{})
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		b.Earn()
+		if Decide(Attempt{Idempotent: true, Made: 1, Left: time.Second}) == Again {
+			b.Spend()
+		}
+	}))
+}
