--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 DEPLOYMENT ?= kuvuka
 SEED       ?= 1
 NAME       ?=
+INSTANCES  ?= 9
 
 LINT_VERSION   := v2.12.2
 ENUMER_VERSION := v1.7.2
@@ -45,5 +46,8 @@
 demo: build ## Run a fleet on loopback under faults and print a table (DEPLOYMENT=kuvuka|bluemahoe).
 	bin/demo --deployment $(DEPLOYMENT)
 
+prove: build ## Prove the invariants under faults (NAME=once,slots or all; DEPLOYMENT, SEED, INSTANCES).
+	bin/prove --name $(or $(NAME),all) --deployment $(DEPLOYMENT) --seed $(SEED) --instances $(INSTANCES)
+
 clean: ## Remove build output.
 	rm -rf bin out
--- /dev/null
+++ b/standin/proof/mix.go
@@ -0,0 +1,77 @@
+package proof
+
+import (
+	"strconv"
+
+	"galenaridge/bench"
+	"galenaridge/client"
+	"galenaridge/standin/harness"
+)
+
+// clients is one client of package client for each failure domain.
+type clients struct{ crowd[*client.Client] }
+
+func (c *clients) close() {
+	for _, one := range c.callers {
+		one.Close()
+	}
+}
+
+// clients returns a client for each failure domain.
+func (s *stage) clients() (*clients, error) {
+	all := &clients{}
+	for n := range s.deployment.Domains {
+		one, err := s.client(n)
+		if err != nil {
+			all.close()
+			return nil, err
+		}
+		all.callers = append(all.callers, one)
+	}
+	return all, nil
+}
+
+// capacityOf returns how many requests a second the servers of a service bear.
+func capacityOf(service harness.Service) float64 {
+	return float64(service.Servers) * float64(service.Slots) / service.Mean.Seconds()
+}
+
+// capacity returns how many requests a second all servers bear.
+func (s *stage) capacity() float64 {
+	sum := 0.0
+	for _, service := range s.deployment.Services {
+		sum += capacityOf(service)
+	}
+	return sum
+}
+
+// capacityMix returns reads and protected requests of all services, in
+// proportion to what the servers bear.
+func (s *stage) capacityMix() []bench.Kind {
+	var kinds []bench.Kind
+	for _, service := range s.deployment.Services {
+		kinds = append(kinds, readKind(service, 0.8*capacityOf(service)))
+	}
+	for _, kind := range protectedKinds(s.answers) {
+		kind.Weight = 0.2 * capacityOf(s.service(kind))
+		kinds = append(kinds, kind)
+	}
+	return kinds
+}
+
+// readKind returns reads of a service.
+func readKind(service harness.Service, weight float64) bench.Kind {
+	return bench.Kind{Weight: weight, Service: service.Name, Class: "read", Method: "GET", Path: "/items?page=1"}
+}
+
+// service returns the service that a kind of requests goes to.
+func (s *stage) service(kind bench.Kind) harness.Service {
+	for _, service := range s.deployment.Services {
+		if service.Name == kind.Service {
+			return service
+		}
+	}
+	return harness.Service{}
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/standin/proof/verdict.go
@@ -0,0 +1,68 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Check is one comparison of a figure with its target.
+type Check struct {
+	Figure string `json:"figure"`
+	Target string `json:"target"`
+	Pass   bool   `json:"pass"`
+}
+
+// Verdict is the result of one proof.
+type Verdict struct {
+	Proof      string  `json:"proof"`
+	Deployment string  `json:"deployment"`
+	Instances  int     `json:"instances"`
+	Seed       uint64  `json:"seed"`
+	Checks     []Check `json:"checks"`
+	// Notes are figures without a target.
+	Notes []string `json:"notes,omitempty"`
+	// Failure says why the proof could not be carried out.
+	Failure string `json:"failure,omitempty"`
+}
+
+// Pass reports whether the proof was carried out and met all targets.
+func (v *Verdict) Pass() bool {
+	for _, c := range v.Checks {
+		if !c.Pass {
+			return false
+		}
+	}
+	return v.Failure == "" && len(v.Checks) > 0
+}
+
+// String returns one line: name, pass or fail, figures, targets.
+func (v *Verdict) String() string {
+	if v.Failure != "" {
+		return fmt.Sprintf("%s fail %q", v.Proof, v.Failure)
+	}
+	figures := make([]string, 0, len(v.Checks))
+	targets := make([]string, 0, len(v.Checks))
+	for _, c := range v.Checks {
+		figure := c.Figure
+		if !c.Pass {
+			figure += " (missed)"
+		}
+		figures = append(figures, figure)
+		targets = append(targets, c.Target)
+	}
+	word := "fail"
+	if v.Pass() {
+		word = "pass"
+	}
+	return fmt.Sprintf("%s %s %q %q", v.Proof, word, strings.Join(figures, "; "), strings.Join(targets, "; "))
+}
+
+// check adds a comparison.
+func (v *Verdict) check(pass bool, target, format string, values ...any) {
+	v.Checks = append(v.Checks, Check{Figure: fmt.Sprintf(format, values...), Target: target, Pass: pass})
+}
+
+// note adds a figure without a target.
+func (v *Verdict) note(format string, values ...any) {
+	v.Notes = append(v.Notes, fmt.Sprintf(format, values...))
+}
--- /dev/null
+++ b/standin/proof/wire.go
@@ -0,0 +1,165 @@
+package proof
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"galenaridge/client"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+)
+
+// Headers of the protocol for callers.
+const (
+	headerToken    = "Galenaridge-Token"
+	headerKey      = "Galenaridge-Key"
+	headerTenant   = "Galenaridge-Tenant"
+	headerDeadline = "Galenaridge-Deadline"
+	headerOutcome  = "Galenaridge-Outcome"
+	headerMove     = "Galenaridge-Move"
+)
+
+const (
+	dialTimeout   = time.Second
+	assignTimeout = time.Second
+	connsPerHost  = 2048
+)
+
+// unsentError means that no connection was made, so that nothing was sent.
+type unsentError struct{ err error }
+
+// Error returns why there is no connection.
+func (e *unsentError) Error() string { return "no connection: " + e.err.Error() }
+
+// unsent reports whether an error proves that nothing was sent.
+func unsent(err error) bool {
+	var target *unsentError
+	return errors.As(err, &target)
+}
+
+// wire speaks the protocol for callers without the rules of package client,
+// so that callers of a proof can break them.
+type wire struct{ http *fasthttp.Client }
+
+// newWire returns a wire that dials the given addresses instead of others.
+func newWire(via map[fleet.Address]fleet.Address) *wire {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &wire{&fasthttp.Client{
+		Dial: func(address string) (net.Conn, error) {
+			if instead, ok := via[fleet.Address(address)]; ok {
+				address = string(instead)
+			}
+			conn, err := dialer.Dial("tcp", address)
+			if err != nil {
+				return nil, &unsentError{err}
+			}
+			return conn, nil
+		},
+		NoDefaultUserAgentHeader:  true,
+		MaxConnsPerHost:           connsPerHost,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+func (w *wire) close() { w.http.CloseIdleConnections() }
+
+// ticket is what a caller needs to send protected requests: the address of
+// the home, the other assigned addresses and a token.
+type ticket struct {
+	Addresses []struct {
+		Address fleet.Address `json:"address"`
+	} `json:"addresses"`
+	TTLMillis int64  `json:"ttl_ms"`
+	Token     string `json:"token"`
+	ends      time.Time
+}
+
+// home returns the address that issued the token.
+func (t *ticket) home() fleet.Address { return t.Addresses[0].Address }
+
+// assign asks one instance for an assignment.
+func (w *wire) assign(entry fleet.Address, service fleet.ServiceName, domain fleet.Domain) (*ticket, error) {
+	query := url.Values{"service": {string(service)}, "domain": {string(domain)}}
+	var request fasthttp.Request
+	var response fasthttp.Response
+	request.SetRequestURI("http://" + string(entry) + "/-/assign?" + query.Encode())
+	asked := time.Now()
+	if err := w.http.DoTimeout(&request, &response, assignTimeout); err != nil {
+		return nil, eris.Wrapf(err, "ask %s for an assignment", entry)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return nil, eris.Errorf("%s answered %d to the question for an assignment", entry, response.StatusCode())
+	}
+	t := &ticket{}
+	if err := json.Unmarshal(response.Body(), t); err != nil {
+		return nil, eris.Wrap(err, "decode an assignment")
+	}
+	if len(t.Addresses) == 0 {
+		return nil, eris.New("the assignment has no address")
+	}
+	t.ends = asked.Add(time.Duration(t.TTLMillis) * time.Millisecond)
+	return t, nil
+}
+
+// send sends a request to one address and returns what the answer says. The
+// outcome is unknown after an error unless it is unsent.
+func (w *wire) send(address fleet.Address, q client.Request, token string, deadline time.Time) (client.Result, bool, error) {
+	var request fasthttp.Request
+	var response fasthttp.Response
+	request.SetRequestURI("http://" + string(address) + "/" + string(q.Service) + q.Path)
+	request.Header.SetMethod(q.Method)
+	for _, h := range q.Headers {
+		request.Header.Add(h.Name, h.Value)
+	}
+	if q.Tenant != "" {
+		request.Header.Set(headerTenant, string(q.Tenant))
+	}
+	if token != "" {
+		request.Header.Set(headerToken, token)
+		request.Header.Set(headerKey, string(q.Key))
+	}
+	left := max(time.Until(deadline), time.Millisecond)
+	request.Header.Set(headerDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	request.SetBody(q.Body)
+	// The answer at the deadline needs time for its way.
+	err := w.http.DoDeadline(&request, &response, deadline.Add(answerMargin))
+	result := client.Result{Key: q.Key, Address: address, Sent: 1}
+	if err != nil {
+		result.Code = client.NoAnswer
+		return result, false, err
+	}
+	read(&response, &result)
+	return result, string(response.Header.Peek(headerMove)) == "1", nil
+}
+
+// answerMargin is how much longer than its deadline a caller waits.
+const answerMargin = 300 * time.Millisecond
+
+// read takes what an answer says. Without a valid outcome it is unknown.
+func read(response *fasthttp.Response, result *client.Result) {
+	result.Status = response.StatusCode()
+	result.Body = append([]byte(nil), response.Body()...)
+	for name, value := range response.Header.All() {
+		result.Headers = append(result.Headers, exchange.Header{Name: string(name), Value: string(value)})
+	}
+	outcome, err := fleet.OutcomeString(string(response.Header.Peek(headerOutcome)))
+	if err != nil {
+		return
+	}
+	result.Outcome = outcome
+	var refused struct {
+		Code exchange.Code `json:"code"`
+	}
+	if outcome != fleet.Done || result.Status == fasthttp.StatusGone {
+		_ = json.Unmarshal(result.Body, &refused)
+		result.Code = refused.Code
+	}
+}
--- a/standin/server/commands.go
+++ b/standin/server/commands.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenaridge/core/fleet"
+	"galenaridge/standin/jsontime"
 )
 
 // ledger counts what the server did. Its commands are in this file and its
@@ -17,6 +18,8 @@
 	keys       map[fleet.Key]int
 	drainSince time.Time
 	lastStart  time.Time
+	// counted is until when the busy time is counted.
+	counted time.Time
 	// journal receives each key that starts to run, one a line, so that the
 	// count survives the process.
 	journal io.Writer
@@ -31,6 +34,7 @@
 func (l *ledger) begin(now time.Time, key fleet.Key) (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.countBusy(now)
 	l.stats.PeakRequests = max(l.stats.PeakRequests, l.stats.InFlight+1)
 	if l.stats.InFlight >= int(l.slots) {
 		l.stats.Shed++
@@ -59,9 +63,10 @@
 )
 
 // end gives back the slot of a started request.
-func (l *ledger) end(r result) {
+func (l *ledger) end(now time.Time, r result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.countBusy(now)
 	l.stats.InFlight--
 	switch r {
 	case finished:
@@ -73,6 +78,13 @@
 	}
 }
 
+// countBusy adds the time of the requests in progress since the last call; the
+// lock is held.
+func (l *ledger) countBusy(now time.Time) {
+	l.stats.Busy += jsontime.Duration(now.Sub(l.counted) * time.Duration(l.stats.InFlight))
+	l.counted = now
+}
+
 // expire counts a request that came past its deadline.
 func (l *ledger) expire() {
 	l.mu.Lock()
--- a/standin/server/queries.go
+++ b/standin/server/queries.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenaridge/core/fleet"
+	"galenaridge/standin/jsontime"
 )
 
 // Stats is what a server counted since its start.
@@ -17,11 +18,13 @@
 	PeakConns int `json:"peak_conns"`
 	Conns     int `json:"conns"`
 	InFlight  int `json:"in_flight"`
-	Started   int `json:"started"`
-	Finished  int `json:"finished"`
-	Failed    int `json:"failed"`
-	Aborted   int `json:"aborted"`
-	Shed      int `json:"shed"`
+	// Busy is the time of all requests in progress, added up.
+	Busy     jsontime.Duration `json:"busy"`
+	Started  int               `json:"started"`
+	Finished int               `json:"finished"`
+	Failed   int               `json:"failed"`
+	Aborted  int               `json:"aborted"`
+	Shed     int               `json:"shed"`
 	// Expired requests came past their deadline and were not started.
 	Expired int `json:"expired"`
 	// KeysRun counts distinct protected keys; KeysRepeated counts those of
@@ -36,10 +39,11 @@
 }
 
 // snapshot returns the counts so far.
-func (l *ledger) snapshot() Stats {
+func (l *ledger) snapshot(now time.Time) Stats {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	stats := l.stats
+	stats.Busy += jsontime.Duration(now.Sub(l.counted) * time.Duration(stats.InFlight))
 	stats.KeysRun = len(l.keys)
 	for _, n := range l.keys {
 		if n > 1 {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -123,7 +123,7 @@
 
 // Stats returns the counts so far.
 func (s *Server) Stats() Stats {
-	stats := s.ledger.snapshot()
+	stats := s.ledger.snapshot(s.clock.Now())
 	stats.ID = s.options.ID
 	stats.Service = s.options.Service
 	return stats
--- a/standin/server/work.go
+++ b/standin/server/work.go
@@ -88,22 +88,22 @@
 	}
 	fault := s.faults.draw(now)
 	if !s.perform(ctx, number, fault) {
-		s.ledger.end(aborted)
+		s.ledger.end(s.clock.Now(), aborted)
 		s.refuse(w, http.StatusGatewayTimeout, "aborted")
 		return
 	}
 	if fault.Kind == FaultFail {
-		s.ledger.end(failed)
+		s.ledger.end(s.clock.Now(), failed)
 		s.refuse(w, http.StatusInternalServerError, "fault")
 		return
 	}
 	body := s.body(r, size, received)
 	if fault.Kind == FaultTruncate {
-		s.ledger.end(failed)
+		s.ledger.end(s.clock.Now(), failed)
 		s.truncate(w, r, body)
 		return
 	}
-	s.ledger.end(finished)
+	s.ledger.end(s.clock.Now(), finished)
 	s.answer(w, r, body, size)
 }
 
