--- a/standin/harness/commands.go
+++ b/standin/harness/commands.go
@@ -152,14 +152,21 @@
 
 // DrainServer makes a server say that it is leaving and lists it as leaving.
 func (f *Fleet) DrainServer(ctx context.Context, id fleet.ServerID) error {
+	if err := f.AnnounceDrain(ctx, id); err != nil {
+		return err
+	}
+	return f.ListServer(ctx, id, fleet.Leaving)
+}
+
+// AnnounceDrain makes a server say that it is leaving, while the platform
+// lists it as before.
+func (f *Fleet) AnnounceDrain(ctx context.Context, id fleet.ServerID) error {
 	s, ok := f.layout.server(id)
 	if !ok {
 		return eris.Wrap(errUnknown, string(id))
 	}
-	if _, err := f.control.do(ctx, http.MethodPost, s.options.Control, "/drain", nil); err != nil {
-		return err
-	}
-	return f.listServer(ctx, listedServer(s, fleet.Leaving))
+	_, err := f.control.do(ctx, http.MethodPost, s.options.Control, "/drain", nil)
+	return err
 }
 
 // ListServer changes how the platform lists a server.
@@ -174,17 +181,39 @@
 // KillServer ends the process of a server that runs alone. The platform's
 // list keeps the server, as it does for one that crashed.
 func (f *Fleet) KillServer(ctx context.Context, id fleet.ServerID) error {
-	name := "server-" + string(id)
-	f.mu.Lock()
-	p, ok := f.parts[name]
-	f.mu.Unlock()
-	if !ok {
-		return eris.Wrapf(errUnknown, "%s does not run alone", id)
+	p, err := f.lone(id)
+	if err != nil {
+		return err
 	}
 	p.kill()
 	return f.refuse(ctx, kindServer, string(id), true)
 }
 
+// PauseServer suspends the process of a server that runs alone.
+func (f *Fleet) PauseServer(id fleet.ServerID) error { return f.signalServer(id, syscall.SIGSTOP) }
+
+// ResumeServer continues a paused server.
+func (f *Fleet) ResumeServer(id fleet.ServerID) error { return f.signalServer(id, syscall.SIGCONT) }
+
+func (f *Fleet) signalServer(id fleet.ServerID, sig os.Signal) error {
+	p, err := f.lone(id)
+	if err != nil {
+		return err
+	}
+	return p.signal(sig)
+}
+
+// lone returns the process of a server that runs alone.
+func (f *Fleet) lone(id fleet.ServerID) (*process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.parts["server-"+string(id)]
+	if !ok {
+		return nil, eris.Wrapf(errUnknown, "%s does not run alone", id)
+	}
+	return p, nil
+}
+
 // RestartServer starts a server that was killed again, with its counts at
 // zero but for its keys.
 func (f *Fleet) RestartServer(ctx context.Context, id fleet.ServerID) error {
--- a/standin/harness/queries.go
+++ b/standin/harness/queries.go
@@ -169,6 +169,15 @@
 	return ids
 }
 
+// InstanceProcess returns the id of the process that runs in a slot.
+func (f *Fleet) InstanceProcess(slot Slot) (int, error) {
+	in, _, err := f.find(slot)
+	if err != nil {
+		return 0, err
+	}
+	return in.command.Process.Pid, nil
+}
+
 // find returns the instance in a slot and its place.
 func (f *Fleet) find(slot Slot) (*instance, place, error) {
 	f.mu.Lock()
--- a/standin/proof/proof.go
+++ b/standin/proof/proof.go
@@ -41,6 +41,7 @@
 		{"whole", proveWhole},
 		{"stop", proveStop},
 		{"config", proveConfig},
+		{"gray", proveGray},
 	}
 }
 
