--- a/standin/proof/proof.go
+++ b/standin/proof/proof.go
@@ -42,6 +42,10 @@
 		{"stop", proveStop},
 		{"config", proveConfig},
 		{"gray", proveGray},
+		{"floor", proveFloor},
+		{"leaving", proveLeaving},
+		{"overload", proveOverload},
+		{"membership48", proveMembership},
 	}
 }
 
--- /dev/null
+++ b/tests/integration/doc.go
@@ -0,0 +1,2 @@
+// Package integration holds tests that run whole fleets as real processes.
+package integration
--- /dev/null
+++ b/tests/integration/main_test.go
@@ -0,0 +1,34 @@
+package integration_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// root is the root of the module.
+const root = "../.."
+
+// bin holds the programs that the tests run.
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	var err error
+	if bin, err = os.MkdirTemp("", "integration-bin-"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(bin) }()
+	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator),
+		".", "./standin/cmd/server", "./standin/cmd/platform", "./standin/cmd/link")
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out), err)
+		return 1
+	}
+	return m.Run()
+}
