--- a/standin/proof/once.go
+++ b/standin/proof/once.go
@@ -83,6 +83,7 @@
 // after another.
 func (s *stage) strikeHomes(ctx context.Context, fault onceFault) (account, int, error) {
 	callers, told := s.repeaters()
+	defer callers.callers[0].wire.close()
 	kinds := protectedKinds(s.answers)
 	runFor := 20 * time.Second
 	if s.options.Short {
--- a/standin/proof/stop.go
+++ b/standin/proof/stop.go
@@ -123,6 +123,7 @@
 	}
 	defer followers.close()
 	stubborn := s.keepers()
+	defer stubborn.callers[0].wire.close()
 	all := &crowd[bench.Caller]{callers: []bench.Caller{followers, stubborn}}
 	loading, stop := context.WithCancel(ctx)
 	defer stop()
