Say unknown to a copy that an unready instance refuses

A restarted instance without a configuration answered no_service with the outcome not-run, also to a copy of a protected request that had run through its home. It answers not_ready now, and a refusal before the home is asked has the outcome unknown if the request carries a token.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -46,6 +46,17 @@
 // server.
 func (r Response) Refused() bool { return r.Code != "" }
 
+// ForCopy returns the refusal of an instance that is not the home, for a request
+// that carries a token. Another copy of the request may have run, and only the
+// home knows, so the outcome is unknown unless the request itself is wrong.
+func (r Response) ForCopy() Response {
+	if r.Outcome == fleet.NotRun && (r.Status == Overloaded.status() || r.Code == NoService) {
+		r.Outcome = fleet.Unknown
+		r.Status = HomeLost.status()
+	}
+	return r
+}
+
 // Load compares owners of a service.
 type Load struct {
 	Slots  fleet.Slots
--- a/core/traffic/serve.go
+++ b/core/traffic/serve.go
@@ -26,10 +26,10 @@
 	defer e.inFlight.Add(-1)
 	view := e.options.Control.View()
 	if !view.Config.Ready() {
-		return Result{Response: exchange.Refuse(exchange.NotReady, "no configuration is in force yet")}
+		return refuseEarly(token, exchange.Refuse(exchange.NotReady, "no configuration is in force yet"))
 	}
 	if _, known := view.Config.Service(request.Service); !known {
-		return Result{Response: exchange.Refuse(exchange.NoService, "service is not configured")}
+		return refuseEarly(token, exchange.Refuse(exchange.NoService, "service is not configured"))
 	}
 	request.Protected = view.Config.Protected(request.Service, request.Method, request.URI)
 	if !request.Protected {
@@ -40,6 +40,14 @@
 	return e.serveProtected(ctx, request, token)
 }
 
+// refuseEarly refuses a request before its home is asked.
+func refuseEarly(token once.Token, refusal exchange.Response) Result {
+	if token != "" {
+		refusal = refusal.ForCopy()
+	}
+	return Result{Response: refusal}
+}
+
 // serveProtected finds the home of the token and lets it decide.
 func (e *Engine) serveProtected(ctx context.Context, request exchange.Request, token once.Token) Result {
 	if token == "" && request.Key != "" {
--- a/io/caller/api.go
+++ b/io/caller/api.go
@@ -51,6 +51,8 @@
 // Policy gives the parts of the configuration in force that bound requests.
 // Its methods are called for each request and must not block.
 type Policy interface {
+	// Ready reports whether a configuration is in force.
+	Ready() bool
 	// Deadline returns the default and largest deadline of a service, and
 	// false if the service is not configured.
 	Deadline(service fleet.ServiceName) (time.Duration, bool)
--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -53,6 +53,9 @@
 	if !ok {
 		return request, "", refuse(exchange.BadRequest, "the path must be /{service}/{path} without dot segments")
 	}
+	if !policy.Ready() {
+		return request, "", refuse(exchange.NotReady, "no configuration is in force yet")
+	}
 	largest, ok := policy.Deadline(service)
 	if !ok {
 		return request, "", refuse(exchange.NoService, "the service is not configured")
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -191,6 +191,10 @@
 func (s *Server) parse(ctx *fasthttp.RequestCtx, now time.Time) (exchange.Request, string, *exchange.Response) {
 	header := &ctx.Request.Header
 	request, token, err := parseRequest(header, s.limits(), s.options.Policy, now)
+	if err != nil && len(header.Peek(headerToken)) > 0 {
+		refusal := err.ForCopy()
+		err = &refusal
+	}
 	if err != nil {
 		return exchange.Request{}, "", err
 	}
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -33,7 +33,9 @@
 }
 
 // fixed is a Policy, an Assigner and a Stopping with fixed answers.
-type fixed struct{ stopping atomic.Bool }
+type fixed struct{ stopping, unready atomic.Bool }
+
+func (f *fixed) Ready() bool { return !f.unready.Load() }
 
 func (*fixed) Deadline(service fleet.ServiceName) (time.Duration, bool) {
 	return 2 * time.Second, service == "svc"
@@ -185,6 +187,40 @@
 	}
 }
 
+// TestServeCopy guards against "not-run" for a copy of a protected request
+// whose home may have run another copy.
+func TestServeCopy(t *testing.T) {
+	const token = "Galenaridge-Token: t\r\nGalenaridge-Key: k\r\n"
+	tests := []struct {
+		name    string
+		service string
+		headers string
+		unready bool
+		status  int
+		outcome string
+		body    string
+	}{
+		{"not ready", "svc", "", true, 503, "not-run", "not_ready"},
+		{"not ready, with token", "svc", token, true, 504, "unknown", "not_ready"},
+		{"unknown service, with token", "nope", token, false, 504, "unknown", "no_service"},
+		{"bad key, with token", "svc", token + "Galenaridge-Key: k\r\n", false, 400, "not-run", "bad_request"},
+	}
+	parts := &fixed{}
+	_, address := start(t, func(context.Context, exchange.Request, string) Result { return done("ran") },
+		func(o *Options) { o.Policy = parts })
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			parts.unready.Store(tt.unready)
+			c := dial(t, address)
+			c.send("POST /" + tt.service + "/a HTTP/1.1\r\nHost: x\r\n" + tt.headers + "Content-Length: 0\r\n\r\n")
+			got := c.receive(t, "POST")
+			require.Equal(t, tt.status, got.status)
+			require.Equal(t, tt.outcome, got.header.Get("Galenaridge-Outcome"))
+			require.Contains(t, got.body, tt.body)
+		})
+	}
+}
+
 // TestServeResult guards against answers that lose a header or whose framing
 // a server's headers can change.
 func TestServeResult(t *testing.T) {
--- a/io/process/adapters.go
+++ b/io/process/adapters.go
@@ -109,6 +109,9 @@
 	}, nil
 }
 
+// Ready implements caller.Policy.
+func (f frontEnd) Ready() bool { return f.control.View().Config.Ready() }
+
 // Deadline implements caller.Policy.
 func (f frontEnd) Deadline(service fleet.ServiceName) (time.Duration, bool) {
 	configured, known := f.control.View().Config.Service(service)
