--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,8 @@
 demo: build ## Run a fleet on loopback under faults and print a table (DEPLOYMENT=kuvuka|bluemahoe).
 	bin/demo --deployment $(DEPLOYMENT)
 
+measure: build ## Measure the figures of the capacity page into docs/measurements (under 8 minutes).
+	bin/measure --seed $(SEED)
+
 clean: ## Remove build output.
 	rm -rf bin out
--- a/io/process/state.go
+++ b/io/process/state.go
@@ -197,6 +197,7 @@
 	p.metrics.NewGauge("galenaridge_control_sent_bytes", func() float64 { return float64(p.meter.Totals().SentBytes) })
 	p.metrics.NewGauge("galenaridge_control_received_bytes", func() float64 { return float64(p.meter.Totals().ReceivedBytes) })
 	p.metrics.NewGauge("galenaridge_control_sent_messages", func() float64 { return float64(p.meter.Totals().SentMessages) })
+	p.metrics.NewGauge("galenaridge_control_received_messages", func() float64 { return float64(p.meter.Totals().ReceivedMessages) })
 }
 
 func truth(b bool) float64 {
--- /dev/null
+++ b/standin/measure/exchange.go
@@ -0,0 +1,65 @@
+package measure
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"galenaridge/core/fleet"
+	"galenaridge/standin/server"
+)
+
+// requestTimeout bounds one request of a measurement.
+const requestTimeout = 2 * time.Second
+
+// requester sends single requests. All measured paths use it, so that its own
+// cost is in each of them alike.
+type requester struct{ http *fasthttp.Client }
+
+func newRequester() requester {
+	return requester{&fasthttp.Client{
+		MaxConnsPerHost:           4096,
+		MaxIdleConnDuration:       time.Minute,
+		MaxIdemponentCallAttempts: 1,
+		ReadBufferSize:            16 << 10,
+	}}
+}
+
+func (r requester) close() { r.http.CloseIdleConnections() }
+
+// send sends a request, and returns the server that answered and the time it
+// took.
+func (r requester) send(method string, address fleet.Address, path string) (fleet.ServerID, time.Duration, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + string(address) + path)
+	request.Header.Set(server.HeaderCaller, "measure")
+	request.Header.Set(server.HeaderBodySize, "512")
+	began := time.Now()
+	if err := r.http.DoTimeout(request, response, requestTimeout); err != nil {
+		return "", 0, eris.Wrapf(err, "ask %s", address)
+	}
+	took := time.Since(began)
+	if response.StatusCode() != fasthttp.StatusOK {
+		return "", took, eris.Errorf("status %d: %.200s", response.StatusCode(), response.Body())
+	}
+	return fleet.ServerID(response.Header.Peek(server.HeaderServer)), took, nil
+}
+
+// awaitWork sends requests until one succeeds, so that a measurement begins
+// with a path that works.
+func (r requester) awaitWork(ctx context.Context, address fleet.Address, path string) error {
+	for {
+		_, _, err := r.send(fasthttp.MethodGet, address, path)
+		if err == nil {
+			return nil
+		}
+		if wait(ctx, 100*time.Millisecond) != nil {
+			return eris.Wrap(err, "no request succeeds")
+		}
+	}
+}
--- /dev/null
+++ b/standin/measure/measure.go
@@ -0,0 +1,166 @@
+package measure
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/vg"
+
+	"galenaridge/standin/harness"
+	"galenaridge/standin/synthetic"
+)
+
+// Options says what to measure.
+type Options struct {
+	// Bin is the directory of the programs.
+	Bin string
+	// Out is the directory of slopes.md and the plots.
+	Out string
+	// Root is the directory of the module, for Go benchmarks.
+	Root string
+	// Only lists the sections to run; empty means all.
+	Only []string
+	// Short measures fewer points for less time; its figures are trials.
+	Short bool
+	Seed  uint64
+	// Commit and Machine are printed beside the figures.
+	Commit  string
+	Machine string
+	// Say receives one line for each step.
+	Say func(line string)
+}
+
+// Result is what a section found.
+type Result struct {
+	// Tables are written in their order.
+	Tables []Table
+	// Plots are written under the name of the file without its ending.
+	Plots map[string]*plot.Plot
+}
+
+// section measures one kind of figures.
+type section struct {
+	name  string
+	title string
+	run   func(ctx context.Context, o Options) (Result, error)
+}
+
+// sections returns all sections in the order of the page.
+func sections() []section {
+	return []section{
+		{"idle", "Control cost of an idle instance", measureIdle},
+		{"latency", "Added latency", measureLatency},
+		{"capacity", "Requests for each core", measureCapacity},
+		{"config", "Time until a configuration is in force", measureConfig},
+		{"takeover", "Time to take over the servers of a killed instance", measureTakeover},
+		{"micro", "Parts of an instance at the size of two years' time", measureMicro},
+	}
+}
+
+// Names returns the names of all sections.
+func Names() []string {
+	var names []string
+	for _, s := range sections() {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+// plotWidth and plotHeight are the size of each plot.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// Run measures and writes the page. Sections that are not run keep what the
+// page has of them. A section that fails is written with its failure, and the
+// others still run; Run then returns the failures together.
+func Run(ctx context.Context, o Options) error {
+	for _, name := range o.Only {
+		if !slices.Contains(Names(), name) {
+			return eris.Errorf("unknown section %q; there are %s", name, strings.Join(Names(), ", "))
+		}
+	}
+	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+		return eris.Wrap(err, "make the output directory")
+	}
+	page, err := readPage(o.Out)
+	if err != nil {
+		return err
+	}
+	var failures []string
+	for _, s := range sections() {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, s.name) {
+			continue
+		}
+		o.Say("section " + s.name)
+		result, err := s.run(ctx, o)
+		if err != nil {
+			failures = append(failures, s.name+": "+err.Error())
+			result.Tables = append(result.Tables, Table{Notes: []string{"This section failed: " + err.Error()}})
+		}
+		page.set(s, o, result)
+		if err := page.write(o.Out); err != nil {
+			return err
+		}
+		if err := savePlots(o.Out, result.Plots); err != nil {
+			return err
+		}
+	}
+	if len(failures) > 0 {
+		return eris.New(strings.Join(failures, "\n"))
+	}
+	return nil
+}
+
+func savePlots(dir string, plots map[string]*plot.Plot) error {
+	for name, p := range plots {
+		if err := p.Save(plotWidth, plotHeight, filepath.Join(dir, name+".png")); err != nil {
+			return eris.Wrapf(err, "save the plot %s", name)
+		}
+	}
+	return nil
+}
+
+// readyTimeout bounds the start of a fleet.
+const readyTimeout = 40 * time.Second
+
+// open starts a fleet of a shape and waits until it is ready.
+func open(ctx context.Context, o Options, shape synthetic.Shape) (*harness.Fleet, error) {
+	if err := shape.Validate(); err != nil {
+		return nil, err
+	}
+	config, err := shape.Config(1)
+	if err != nil {
+		return nil, err
+	}
+	f, err := harness.Open(ctx, harness.Options{Deployment: shape.Deployment(o.Seed), Bin: o.Bin, Config: config})
+	if err != nil {
+		return nil, eris.Wrap(err, "start the fleet")
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(ready); err != nil {
+		f.Close()
+		return nil, eris.Wrap(err, "wait for the fleet")
+	}
+	return f, nil
+}
+
+// wait waits unless the context ends first.
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/measure/page.go
@@ -0,0 +1,137 @@
+package measure
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// pageName is the file of the page in the output directory.
+const pageName = "slopes.md"
+
+// Table is one table of the page.
+type Table struct {
+	Title   string
+	Columns []string
+	Rows    [][]string
+	// Notes follow the table, one paragraph each.
+	Notes []string
+}
+
+// add appends a row of values.
+func (t *Table) add(cells ...any) {
+	row := make([]string, 0, len(cells))
+	for _, c := range cells {
+		if f, ok := c.(float64); ok {
+			c = number(f)
+		}
+		row = append(row, fmt.Sprint(c))
+	}
+	t.Rows = append(t.Rows, row)
+}
+
+// number returns a value with three significant digits, and whole from 1,000.
+func number(v float64) string {
+	if v >= 1000 || v <= -1000 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
+
+// Markdown returns the table with its title and notes.
+func (t Table) Markdown() string {
+	var b strings.Builder
+	if t.Title != "" {
+		fmt.Fprintf(&b, "### %s\n\n", t.Title)
+	}
+	if len(t.Columns) > 0 {
+		line(&b, t.Columns)
+		line(&b, slices.Repeat([]string{"---"}, len(t.Columns)))
+		for _, row := range t.Rows {
+			line(&b, row)
+		}
+		b.WriteString("\n")
+	}
+	for _, note := range t.Notes {
+		b.WriteString(note + "\n\n")
+	}
+	return b.String()
+}
+
+func line(b *strings.Builder, cells []string) {
+	b.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+}
+
+// page is the text of the page by section.
+type page struct{ parts map[string]string }
+
+// A marker line begins each section, so that a run of one section keeps the
+// others.
+const (
+	markerStart = "<!-- section "
+	markerEnd   = " -->\n"
+)
+
+// readPage reads the page of an earlier run, if there is one.
+func readPage(dir string) (*page, error) {
+	p := &page{parts: map[string]string{}}
+	text, err := os.ReadFile(filepath.Join(dir, pageName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return p, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "read the page of the run before")
+	}
+	for _, part := range strings.Split(string(text), markerStart)[1:] {
+		name, body, _ := strings.Cut(part, markerEnd)
+		p.parts[name] = body
+	}
+	return p, nil
+}
+
+// set replaces the text of a section.
+func (p *page) set(s section, o Options, result Result) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n\n", s.title)
+	short := ""
+	if o.Short {
+		short = " --short"
+	}
+	fmt.Fprintf(&b, "`go run ./standin/cmd/measure --only %s%s --seed %d`, commit %s, %s.\n\n", s.name, short, o.Seed, o.Commit, o.Machine)
+	if o.Short {
+		b.WriteString("Short run: these figures are trials.\n\n")
+	}
+	for _, t := range result.Tables {
+		b.WriteString(t.Markdown())
+	}
+	var names []string
+	for name := range result.Plots {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(&b, "![%s](%s.png)\n\n", name, name)
+	}
+	p.parts[s.name] = b.String()
+}
+
+// write writes the page with its sections in order.
+func (p *page) write(dir string) error {
+	var b strings.Builder
+	b.WriteString("# Measurements\n\n`make measure` regenerates this page. ")
+	b.WriteString("All processes of a fleet share one machine over loopback; other work ran on it at the same time, ")
+	b.WriteString("so times include waits for a core.\n\n")
+	for _, s := range sections() {
+		if part, ok := p.parts[s.name]; ok {
+			b.WriteString(markerStart + s.name + markerEnd + part)
+		}
+	}
+	text := strings.TrimRight(b.String(), "\n") + "\n"
+	return eris.Wrap(os.WriteFile(filepath.Join(dir, pageName), []byte(text), 0o644), "write the page")
+}
--- /dev/null
+++ b/standin/synthetic/doc.go
@@ -0,0 +1,3 @@
+// Package synthetic builds deployments of any size with configurations that
+// match them, for measurements and experiments.
+package synthetic
--- /dev/null
+++ b/standin/synthetic/shape.go
@@ -0,0 +1,180 @@
+package synthetic
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+
+	"galenaridge/core/config"
+	"galenaridge/core/fleet"
+	"galenaridge/core/problem"
+	"galenaridge/io/document"
+	"galenaridge/standin/harness"
+)
+
+// Shape is the size of a deployment. Zero values take the defaults that each
+// field names.
+type Shape struct {
+	// Instances is how many instances run; 6.
+	Instances int `yaml:"instances"`
+	// Domains is the number of failure domains; 1.
+	Domains int `yaml:"domains"`
+	// Services is the number of services; 1.
+	Services int `yaml:"services"`
+	// Servers is the number of servers of all services together; 6.
+	Servers int `yaml:"servers"`
+	// Routes is the number of routes of all services together.
+	Routes int `yaml:"routes"`
+	// Tenants is the number of tenants.
+	Tenants int `yaml:"tenants"`
+	// Slots is how many requests a server works on at a time; 4.
+	Slots fleet.Slots `yaml:"slots"`
+	// Spare multiplies the slots that servers enforce over those that the
+	// configuration states, so that direct calls fit beside the fleet's; 1.
+	Spare int `yaml:"spare"`
+	// Conns is the connection limit of a server; 330.
+	Conns fleet.Conns `yaml:"conns"`
+	// Mean and Jitter are the service time; 10ms without jitter.
+	Mean   time.Duration `yaml:"mean"`
+	Jitter time.Duration `yaml:"jitter"`
+	// Deadline is the largest deadline of each service; 2s.
+	Deadline time.Duration `yaml:"deadline"`
+	// Delay is the time one way between failure domains.
+	Delay time.Duration `yaml:"delay"`
+	// Detect picks the thresholds of failure detection.
+	Detect fleet.Preference `yaml:"detect"`
+}
+
+// Limits of a shape: one machine runs all its processes.
+const (
+	maxInstances = 60
+	maxServers   = 2000
+)
+
+// withDefaults returns the shape with each unset value at its default.
+func (s Shape) withDefaults() Shape {
+	s.Instances = cmp.Or(s.Instances, 6)
+	s.Domains = cmp.Or(s.Domains, 1)
+	s.Services = cmp.Or(s.Services, 1)
+	s.Servers = cmp.Or(s.Servers, 6)
+	s.Slots = cmp.Or(s.Slots, 4)
+	s.Spare = cmp.Or(s.Spare, 1)
+	s.Conns = cmp.Or(s.Conns, 330)
+	s.Mean = cmp.Or(s.Mean, 10*time.Millisecond)
+	s.Deadline = cmp.Or(s.Deadline, 2*time.Second)
+	return s
+}
+
+// Validate returns a problem.List if the shape cannot be run.
+func (s Shape) Validate() error {
+	s = s.withDefaults()
+	var c problem.Checker
+	problem.Between(&c, "instances", s.Instances, 1, maxInstances)
+	problem.Between(&c, "domains", s.Domains, 1, s.Instances)
+	problem.Between(&c, "services", s.Services, 1, s.Servers)
+	problem.Between(&c, "servers", s.Servers, 1, maxServers)
+	problem.Between(&c, "spare", s.Spare, 1, 1000)
+	c.That(s.Routes >= 0, "routes", s.Routes, "not negative")
+	c.That(s.Tenants >= 0, "tenants", s.Tenants, "not negative")
+	c.Duration("delay", s.Delay, 0, time.Second)
+	return c.Err()
+}
+
+// Deployment returns the deployment of the shape. Each service starts placing
+// its servers in the first failure domain.
+func (s Shape) Deployment(seed uint64) harness.Deployment {
+	s = s.withDefaults()
+	d := harness.Deployment{
+		Name:      "synthetic",
+		Domains:   s.domains(),
+		Instances: s.Instances,
+		Delay:     s.Delay,
+		Seed:      seed,
+	}
+	for i := range s.Services {
+		d.Services = append(d.Services, harness.Service{
+			Name:    ServiceName(i + 1),
+			Servers: share(s.Servers, s.Services, i),
+			Slots:   s.Slots * fleet.Slots(s.Spare),
+			Conns:   s.Conns,
+			Mean:    s.Mean,
+			Jitter:  s.Jitter,
+		})
+	}
+	return d
+}
+
+// Config returns the configuration of the shape in the form in which the
+// platform holds it.
+func (s Shape) Config(version fleet.Version) ([]byte, error) {
+	return document.EncodeConfig(s.Document(version), nil)
+}
+
+// Document returns the configuration of the shape.
+func (s Shape) Document(version fleet.Version) config.Document {
+	s = s.withDefaults()
+	d := config.Document{
+		Version:    version,
+		Deployment: "synthetic",
+		Domains:    s.domains(),
+		Limits: config.Limits{
+			Body:       1 << 20,
+			Header:     16 << 10,
+			Assignment: 5 * time.Second,
+			Token:      10 * time.Minute,
+		},
+	}
+	for i := range s.Services {
+		d.Services = append(d.Services, config.Service{
+			Name:     ServiceName(i + 1),
+			Slots:    s.Slots,
+			Conns:    s.Conns,
+			Floor:    fleet.Servers(max(1, share(s.Servers, s.Services, i)*2/3)),
+			Deadline: s.Deadline,
+			Detect:   s.Detect,
+			Routes:   routes(share(s.Routes, s.Services, i)),
+		})
+	}
+	for i := range s.Tenants {
+		d.Tenants = append(d.Tenants, config.Tenant{
+			Name:   fleet.Tenant(fmt.Sprintf("tenant-%d", i+1)),
+			Class:  fleet.Class(fmt.Sprintf("class-%d", i%4+1)),
+			Weight: i%4 + 1,
+		})
+	}
+	d.Digest = config.DigestOf(d)
+	return d
+}
+
+// ServiceName returns the name of the service with the number, which counts
+// from 1.
+func ServiceName(number int) fleet.ServiceName {
+	return fleet.ServiceName(fmt.Sprintf("service-%d", number))
+}
+
+func (s Shape) domains() []fleet.Domain {
+	domains := make([]fleet.Domain, s.Domains)
+	for i := range domains {
+		domains[i] = fleet.Domain(fmt.Sprintf("domain-%d", i+1))
+	}
+	return domains
+}
+
+// routes returns protected and idempotent routes in turn.
+func routes(count int) []config.Route {
+	list := make([]config.Route, count)
+	for i := range list {
+		list[i] = config.Route{Method: "POST", Path: fmt.Sprintf("/area-%d/orders", i+1), Protected: i%2 == 0}
+	}
+	return list
+}
+
+// share returns the part of a total that the part with the index gets when it
+// is divided as evenly as possible.
+func share(total, parts, index int) int {
+	n := total / parts
+	if index < total%parts {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/standin/synthetic/shape_test.go
@@ -0,0 +1,48 @@
+package synthetic
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/io/document"
+)
+
+// TestShape guards against shapes whose configuration instances would refuse,
+// and against servers that get lost when they are divided among services.
+func TestShape(t *testing.T) {
+	tests := []struct {
+		name  string
+		shape Shape
+		valid bool
+	}{
+		{"defaults", Shape{}, true},
+		{"uneven division", Shape{Instances: 12, Domains: 3, Services: 3, Servers: 26, Routes: 40, Tenants: 3}, true},
+		{"two years", Shape{Services: 210, Servers: 1000, Routes: 3700, Tenants: 1000}, true},
+		{"more services than servers", Shape{Services: 7}, false},
+		{"more domains than instances", Shape{Instances: 2, Domains: 3}, false},
+		{"delay", Shape{Delay: time.Minute}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.valid, tt.shape.Validate() == nil)
+			if !tt.valid {
+				return
+			}
+			text, err := tt.shape.Config(1)
+			require.NoError(t, err)
+			decoded, err := document.DecodeConfig("shape", text)
+			require.NoError(t, err)
+			shape := tt.shape.withDefaults()
+			servers, routes := 0, 0
+			for i, s := range shape.Deployment(1).Services {
+				servers += s.Servers
+				routes += len(decoded.Services[i].Routes)
+			}
+			require.Equal(t, shape.Servers, servers)
+			require.Equal(t, shape.Routes, routes)
+			require.Len(t, decoded.Tenants, shape.Tenants)
+		})
+	}
+}
