--- a/standin/measure/fit.go
+++ b/standin/measure/fit.go
@@ -29,6 +29,3 @@
 	slope := xy / xx
 	return fit{slope: slope, intercept: meanY - slope*meanX}
 }
-
-// at returns the value of the line at x.
-func (f fit) at(x float64) float64 { return f.intercept + f.slope*x }
