--- /dev/null
+++ b/bench/chart/chart_test.go
@@ -0,0 +1,36 @@
+package chart
+
+import (
+	"image/png"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/bench"
+)
+
+// TestWrite guards against reports for which no picture can be drawn.
+func TestWrite(t *testing.T) {
+	tests := []struct {
+		name    string
+		seconds []bench.Second
+		marks   []Mark
+	}{
+		{"marks", []bench.Second{{Offered: 5, Good: 5, P99: 1e6}, {Offered: 5, NotRun: 5}}, []Mark{{time.Second, "kill i1"}}},
+		{"one second", []bench.Second{{}}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			name := filepath.Join(t.TempDir(), "plot.png")
+			require.NoError(t, Write(name, "title", bench.Report{Seconds: tt.seconds}, tt.marks))
+			file, err := os.Open(name)
+			require.NoError(t, err)
+			defer func() { require.NoError(t, file.Close()) }()
+			_, err = png.Decode(file)
+			require.NoError(t, err)
+		})
+	}
+}
--- /dev/null
+++ b/bench/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart draws reports of package bench as PNG files.
+package chart
--- a/bench/commands.go
+++ b/bench/commands.go
@@ -15,6 +15,8 @@
 	histogramMin    = 1
 	histogramMax    = int64(5 * time.Minute / time.Microsecond)
 	histogramDigits = 3
+	// secondDigits is coarser, since there is a histogram for each second.
+	secondDigits = 2
 	// maxExamples bounds the wrong answers that a report describes.
 	maxExamples = 20
 	// lateStart is from which delay of its start a request counts as late.
@@ -45,6 +47,8 @@
 	groups   map[group]*groupTally
 	keys     map[fleet.Key]Told
 	seconds  []Second
+	// answered holds the latencies of what was done in each second.
+	answered []*hdrhistogram.Histogram
 	examples []string
 	total    Second
 	late     int
@@ -81,6 +85,7 @@
 	latency := max((e.ended - e.due).Microseconds(), histogramMin)
 	if e.result.Outcome == fleet.Done {
 		_ = g.answered.RecordValue(min(latency, histogramMax))
+		_ = t.answeredIn(e.ended).RecordValue(min(latency, histogramMax))
 		g.statuses[e.result.Status]++
 	} else {
 		_ = g.refused.RecordValue(min(latency, histogramMax))
@@ -121,10 +126,17 @@
 	i := int(at / time.Second)
 	for len(t.seconds) <= i {
 		t.seconds = append(t.seconds, Second{})
+		t.answered = append(t.answered, hdrhistogram.New(histogramMin, histogramMax, secondDigits))
 	}
 	return &t.seconds[i]
 }
 
+// answeredIn returns the latencies of the second that holds a time of the run.
+func (t *tally) answeredIn(at time.Duration) *hdrhistogram.Histogram {
+	t.second(at)
+	return t.answered[at/time.Second]
+}
+
 // count counts the end of a request.
 func (s *Second) count(e event) {
 	s.Slowest = max(s.Slowest, duration(e.ended-e.due))
--- /dev/null
+++ b/bench/loadfile/load.go
@@ -0,0 +1,171 @@
+package loadfile
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"galenaridge/bench"
+	"galenaridge/core/config"
+	"galenaridge/core/fleet"
+	"galenaridge/core/problem"
+	"galenaridge/io/strictyaml"
+)
+
+// Load says what to send and when.
+type Load struct {
+	// Deadline bounds each request; zero means 2 s.
+	Deadline time.Duration `yaml:"deadline"`
+	// Regular spaces arrivals evenly; otherwise they are random.
+	Regular bool   `yaml:"regular"`
+	Steps   []Step `yaml:"steps"`
+	Mix     []Kind `yaml:"mix"`
+}
+
+// Step is a time with one arrival rate.
+type Step struct {
+	For time.Duration `yaml:"for"`
+	// Rate is in requests a second.
+	Rate int `yaml:"rate"`
+}
+
+// Kind is one kind of request in the mix.
+type Kind struct {
+	Service fleet.ServiceName `yaml:"service"`
+	// Weight is the share relative to the other weights; zero means 1.
+	Weight int         `yaml:"weight"`
+	Class  fleet.Class `yaml:"class"`
+	// Tenants send in equal parts.
+	Tenants []fleet.Tenant `yaml:"tenants"`
+	Method  string         `yaml:"method"`
+	Path    string         `yaml:"path"`
+	// Protected requests carry a key and are sent again Resend times while
+	// their outcome is unknown.
+	Protected bool `yaml:"protected"`
+	Resend    int  `yaml:"resend"`
+	// Send and Answer are sizes of bodies in bytes.
+	Send   int `yaml:"send"`
+	Answer int `yaml:"answer"`
+}
+
+// Limits of a load.
+const (
+	maxFor    = 10 * time.Minute
+	maxRate   = 50_000
+	maxWeight = 1_000_000
+	maxResend = 5
+	maxBody   = 8 << 20
+)
+
+// Decode reads and checks a load. The file name is used in errors only.
+func Decode(file string, data []byte) (Load, error) {
+	var l Load
+	positions, err := strictyaml.Decode(file, data, &l)
+	if err != nil {
+		return Load{}, err
+	}
+	var c problem.Checker
+	l.Check(&c, "")
+	if err := c.Err(); err != nil {
+		return Load{}, positions.Mistakes(err)
+	}
+	return l, nil
+}
+
+// Check adds the problems of the load, whose keys are under the prefix.
+func (l Load) Check(c *problem.Checker, prefix string) {
+	c.Duration(prefix+"deadline", l.Deadline, 0, time.Minute)
+	c.That(len(l.Steps) > 0, prefix+"steps", "", "at least one step")
+	c.That(len(l.Mix) > 0, prefix+"mix", "", "at least one kind of request")
+	for i, s := range l.Steps {
+		path := problem.Index(prefix+"steps", i)
+		c.Duration(path+".for", s.For, time.Millisecond, maxFor)
+		problem.Between(c, path+".rate", s.Rate, 0, maxRate)
+	}
+	for i, k := range l.Mix {
+		k.check(c, problem.Index(prefix+"mix", i))
+	}
+}
+
+func (k Kind) check(c *problem.Checker, path string) {
+	c.Name(path+".service", string(k.Service))
+	problem.Between(c, path+".weight", k.Weight, 0, maxWeight)
+	c.That(k.Method == "" || slices.Contains(config.Methods, k.Method), path+".method", k.Method, "one of "+strings.Join(config.Methods, ", "))
+	c.That(k.Path == "" || strings.HasPrefix(k.Path, "/"), path+".path", k.Path, `a path such as "/items"`)
+	problem.Between(c, path+".resend", k.Resend, 0, maxResend)
+	problem.Between(c, path+".send", k.Send, 0, maxBody)
+	problem.Between(c, path+".answer", k.Answer, 0, maxBody)
+	for i, tenant := range k.Tenants {
+		c.Name(problem.Index(path+".tenants", i), string(tenant))
+	}
+}
+
+// Plan returns the load as a plan with the seed.
+func (l Load) Plan(seed uint64) bench.Plan {
+	plan := bench.Plan{Deadline: l.Deadline, Regular: l.Regular, Seed: seed}
+	for _, s := range l.Steps {
+		plan.Steps = append(plan.Steps, bench.Step{For: s.For, PerSecond: float64(s.Rate)})
+	}
+	for _, k := range l.Mix {
+		plan.Mix = append(plan.Mix, k.kinds()...)
+	}
+	return plan
+}
+
+// kinds returns one kind for each tenant.
+func (k Kind) kinds() []bench.Kind {
+	tenants := k.Tenants
+	if len(tenants) == 0 {
+		tenants = []fleet.Tenant{""}
+	}
+	var kinds []bench.Kind
+	for _, tenant := range tenants {
+		kinds = append(kinds, bench.Kind{
+			Weight:      float64(cmp.Or(k.Weight, 1)) / float64(len(tenants)),
+			Service:     k.Service,
+			Class:       cmp.Or(k.Class, k.defaultClass()),
+			Tenant:      tenant,
+			Method:      cmp.Or(k.Method, k.defaultMethod()),
+			Path:        cmp.Or(k.Path, "/items"),
+			Protected:   k.Protected,
+			Resend:      k.Resend,
+			SendBytes:   k.Send,
+			AnswerBytes: k.Answer,
+		})
+	}
+	return kinds
+}
+
+func (k Kind) defaultMethod() string {
+	if k.Protected {
+		return "POST"
+	}
+	return "GET"
+}
+
+func (k Kind) defaultClass() fleet.Class {
+	if k.Protected {
+		return "protected"
+	}
+	return "read"
+}
+
+// Duration returns the time of all steps.
+func (l Load) Duration() time.Duration {
+	var total time.Duration
+	for _, s := range l.Steps {
+		total += s.For
+	}
+	return total
+}
+
+// String returns the steps in one line.
+func (l Load) String() string {
+	var steps []string
+	for _, s := range l.Steps {
+		steps = append(steps, fmt.Sprintf("%d/s for %s", s.Rate, s.For))
+	}
+	return strings.Join(steps, ", ")
+}
--- a/bench/queries.go
+++ b/bench/queries.go
@@ -24,10 +24,14 @@
 		Took:     duration(took),
 		Total:    t.total,
 		Late:     t.late,
-		Seconds:  t.seconds,
+		Seconds:  slices.Clone(t.seconds),
 		Examples: t.examples,
 		Keys:     t.keys,
 	}
+	for i, h := range t.answered {
+		quantiles := summarize(h)
+		r.Seconds[i].P50, r.Seconds[i].P99 = quantiles.P50, quantiles.P99
+	}
 	for name, g := range t.groups {
 		r.Groups = append(r.Groups, Group{
 			Service:  name.service,
--- a/bench/report.go
+++ b/bench/report.go
@@ -39,6 +39,10 @@
 	// Wrong answers were done and failed the check of the body.
 	Wrong   int               `json:"wrong"`
 	Slowest jsontime.Duration `json:"slowest"`
+	// P50 and P99 are quantiles of the latencies of what was done. Only the
+	// seconds of a report have them.
+	P50 jsontime.Duration `json:"p50,omitempty"`
+	P99 jsontime.Duration `json:"p99,omitempty"`
 }
 
 // Group is the part of a report for one service and class.
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -40,6 +40,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			showCommand(),
+			loadCommand(),
 			questionnaireCommand(),
 			generateCommand(),
 			checkCommand(),
