--- a/bench/commands.go
+++ b/bench/commands.go
@@ -44,9 +44,9 @@
 // tally is what a run counted. One goroutine owns it. Its commands are in
 // this file and its queries in queries.go.
 type tally struct {
-	groups   map[group]*groupTally
-	keys     map[fleet.Key]Told
-	seconds  []Second
+	groups  map[group]*groupTally
+	keys    map[fleet.Key]Told
+	seconds []Second
 	// answered holds the latencies of what was done in each second.
 	answered []*hdrhistogram.Histogram
 	examples []string
--- /dev/null
+++ b/standin/experiment/faults.go
@@ -0,0 +1,152 @@
+package experiment
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"galenaridge/core/fleet"
+	"galenaridge/standin/harness"
+	"galenaridge/standin/jsontime"
+	"galenaridge/standin/platform"
+	"galenaridge/standin/server"
+)
+
+// Event is a fault that was brought about.
+type Event struct {
+	// At is when the fault began, from the start of the load; Took is how long
+	// the command ran, as a planned stop does.
+	At      jsontime.Duration `json:"at"`
+	Took    jsontime.Duration `json:"took"`
+	What    string            `json:"what"`
+	Failure string            `json:"failure,omitempty"`
+}
+
+// injector brings about the faults of an experiment.
+type injector struct {
+	experiment Experiment
+	options    Options
+	fleet      *harness.Fleet
+	began      time.Time
+	version    fleet.Version
+}
+
+// run brings about all faults at their times and returns them in order. A
+// fault that cannot be brought about is an event with a failure.
+func (i *injector) run(ctx context.Context) []Event {
+	faults := slices.Clone(i.experiment.Faults)
+	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+	events := make([]Event, len(faults))
+	// A planned stop takes seconds, in which later faults may be due.
+	stops := pool.New()
+	for n, f := range faults {
+		if wait(ctx, time.Until(i.began.Add(f.At))) != nil {
+			events = events[:n]
+			break
+		}
+		i.options.Say(f.String())
+		if f.Do == Publish {
+			i.version++
+		}
+		version := i.version
+		act := func() { events[n] = i.event(ctx, f, version) }
+		if f.Do == Stop {
+			stops.Go(act)
+		} else {
+			act()
+		}
+	}
+	stops.Wait()
+	return events
+}
+
+// event brings about one fault.
+func (i *injector) event(ctx context.Context, f Fault, version fleet.Version) Event {
+	at := time.Now()
+	err := i.act(ctx, f, version)
+	e := Event{At: jsontime.Duration(at.Sub(i.began)), Took: jsontime.Duration(time.Since(at)), What: f.String()}
+	if err != nil {
+		e.Failure = err.Error()
+		i.options.Say(f.String() + " failed: " + e.Failure)
+	}
+	return e
+}
+
+func (i *injector) act(ctx context.Context, f Fault, version fleet.Version) error {
+	switch f.Do {
+	case Kill:
+		return i.fleet.Kill(ctx, f.Instance)
+	case Pause:
+		return i.fleet.Pause(f.Instance)
+	case Resume:
+		return i.fleet.Resume(f.Instance)
+	case Stop:
+		return i.fleet.Stop(ctx, f.Instance)
+	case Restart:
+		return i.fleet.Restart(ctx, f.Instance)
+	case Replace:
+		_, err := i.fleet.Replace(ctx, f.Instance)
+		return err
+	case Cut, Heal:
+		return i.cut(ctx, f)
+	case ServerFault:
+		return i.fleet.SetServerFault(ctx, f.Server, f.serverFault(i.experiment.Seed))
+	case Drain:
+		return i.fleet.DrainServer(ctx, f.Server)
+	case PlatformFault:
+		return i.fleet.SetPlatformFault(ctx, platform.Fault{Mode: f.Mode})
+	default:
+		return i.publish(ctx, version)
+	}
+}
+
+// publish publishes a version of the configuration.
+func (i *injector) publish(ctx context.Context, version fleet.Version) error {
+	text, err := i.experiment.config(i.options.Examples, version)
+	if err != nil {
+		return err
+	}
+	return i.fleet.PublishConfig(ctx, text)
+}
+
+// cut cuts or heals between the ends of a fault.
+func (i *injector) cut(ctx context.Context, f Fault) error {
+	if f.Do == Heal && f.From+f.To == "" {
+		return i.fleet.HealAll(ctx)
+	}
+	from, _ := i.experiment.end(f.From)
+	to, _ := i.experiment.end(f.To)
+	change := i.fleet.Cut
+	if f.Do == Heal {
+		change = i.fleet.Heal
+	}
+	if err := change(ctx, from, to); err != nil || !f.Both {
+		return err
+	}
+	return change(ctx, to, from)
+}
+
+// serverFault returns the fault in the form that servers take.
+func (f Fault) serverFault(seed uint64) server.Fault {
+	return server.Fault{
+		Kind:   f.Fault,
+		Factor: float64(f.Factor),
+		Share:  float64(f.Share) / 100,
+		Period: jsontime.Duration(f.Period),
+		Seed:   seed,
+	}
+}
+
+// wait waits unless the context ends first.
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/experiment/file.go
@@ -0,0 +1,155 @@
+package experiment
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"galenaridge/bench/loadfile"
+	"galenaridge/core/fleet"
+	"galenaridge/core/problem"
+	"galenaridge/io/strictyaml"
+	"galenaridge/standin/harness"
+	"galenaridge/standin/platform"
+	"galenaridge/standin/server"
+	"galenaridge/standin/synthetic"
+)
+
+// Experiment is what a file describes.
+type Experiment struct {
+	// Name is the name of the directory with the results.
+	Name string `yaml:"name"`
+	// Deployment is kuvuka, bluemahoe or synthetic.
+	Deployment Deployment `yaml:"deployment"`
+	// Instances of kuvuka and bluemahoe; zero means 12.
+	Instances int `yaml:"instances"`
+	// Synthetic is the size of a synthetic deployment.
+	Synthetic synthetic.Shape `yaml:"synthetic"`
+	// ListLag delays changes of the platform's list.
+	ListLag time.Duration `yaml:"lag"`
+	// Settle is the time from readiness to the load; zero means 3 s.
+	Settle time.Duration `yaml:"settle"`
+	// Entries is how many instances callers know; zero means all.
+	Entries int           `yaml:"entries"`
+	Load    loadfile.Load `yaml:"load"`
+	Faults  []Fault       `yaml:"faults"`
+	Seed    uint64        `yaml:"seed"`
+}
+
+// Fault is one event of an experiment. Which fields count depends on Do.
+type Fault struct {
+	// At is the time after the start of the load.
+	At time.Duration `yaml:"at"`
+	Do Action        `yaml:"do"`
+	// Instance is the slot that kill, pause, resume, stop, restart and replace
+	// meet.
+	Instance harness.Slot `yaml:"instance"`
+	// Server is the server that server and drain meet.
+	Server fleet.ServerID `yaml:"server"`
+	// Fault, Factor, Share and Period describe the fault of a server.
+	Fault  server.FaultKind `yaml:"fault"`
+	Factor int              `yaml:"factor"`
+	// Share is the percentage of requests that the fault meets; zero means
+	// all.
+	Share  int           `yaml:"share"`
+	Period time.Duration `yaml:"period"`
+	// From and To are the ends of cut and heal; heal without them heals all.
+	From string `yaml:"from"`
+	To   string `yaml:"to"`
+	// Both cuts or heals both ways.
+	Both bool `yaml:"both"`
+	// Mode is the mode of the platform.
+	Mode platform.Mode `yaml:"mode"`
+}
+
+// Limits of an experiment.
+const (
+	defaultInstances = 12
+	maxInstances     = 48
+	defaultSettle    = 3 * time.Second
+	maxSettle        = time.Minute
+)
+
+// Decode reads and checks an experiment. The file name is used in errors only.
+func Decode(file string, data []byte) (Experiment, error) {
+	var e Experiment
+	positions, err := strictyaml.Decode(file, data, &e)
+	if err != nil {
+		return Experiment{}, err
+	}
+	var c problem.Checker
+	e.check(&c)
+	if err := c.Err(); err != nil {
+		return Experiment{}, positions.Mistakes(err)
+	}
+	if e.Deployment == Synthetic {
+		if err := e.Synthetic.Validate(); err != nil {
+			return Experiment{}, positions.Mistakes(under("synthetic.", err))
+		}
+	}
+	return e, nil
+}
+
+// under puts the paths of problems under a key.
+func under(prefix string, err error) error {
+	list, ok := problem.As(err)
+	if !ok {
+		return err
+	}
+	for i := range list {
+		list[i].Path = prefix + list[i].Path
+	}
+	return list
+}
+
+// String returns the event in a few words.
+func (f Fault) String() string {
+	words := []string{f.Do.String(), string(f.Instance), string(f.Server)}
+	switch f.Do {
+	case ServerFault:
+		words = append(words, f.Fault.String())
+	case PlatformFault:
+		words = append(words, f.Mode.String())
+	case Cut, Heal:
+		words = append(words, f.From, f.To)
+	default:
+	}
+	return strings.Join(strings.Fields(strings.Join(words, " ")), " ")
+}
+
+func (e Experiment) check(c *problem.Checker) {
+	c.Name("name", e.Name)
+	problem.Between(c, "instances", e.Instances, 0, maxInstances)
+	c.Duration("settle", e.Settle, 0, maxSettle)
+	c.Duration("lag", e.ListLag, 0, time.Hour)
+	problem.Between(c, "entries", e.Entries, 0, e.deployment().Instances)
+	e.Load.Check(c, "load.")
+	for i, k := range e.Load.Mix {
+		c.That(e.hasService(k.Service), problem.Index("load.mix", i)+".service", k.Service, "a service of the deployment")
+	}
+	for i, f := range e.Faults {
+		e.checkFault(c, problem.Index("faults", i), f)
+	}
+}
+
+func (e Experiment) checkFault(c *problem.Checker, path string, f Fault) {
+	c.Duration(path+".at", f.At, 0, e.Load.Duration())
+	if f.Do.meetsInstance() {
+		c.That(e.hasSlot(f.Instance), path+".instance", f.Instance, fmt.Sprintf("i1 to i%d", e.deployment().Instances))
+	}
+	if f.Do == ServerFault || f.Do == Drain {
+		c.That(e.hasServer(f.Server), path+".server", f.Server, "a server of the deployment, such as "+string(e.firstServer()))
+	}
+	problem.Between(c, path+".share", f.Share, 0, 100)
+	c.That(f.Fault != server.FaultSlow || f.Factor > 0, path+".factor", f.Factor, "above 0 for a slow server")
+	c.Duration(path+".period", f.Period, 0, time.Hour)
+	if f.Do == Cut || (f.Do == Heal && f.From+f.To != "") {
+		e.checkEnd(c, path+".from", f.From)
+		e.checkEnd(c, path+".to", f.To)
+	}
+}
+
+func (e Experiment) checkEnd(c *problem.Checker, path, name string) {
+	_, ok := e.end(name)
+	c.That(ok, path, name, `"domain/NAME", "instance/NAME", "server/NAME", "platform" or "clients" of the deployment`)
+}
--- /dev/null
+++ b/standin/experiment/report.go
@@ -0,0 +1,182 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"galenaridge/bench"
+	"galenaridge/bench/chart"
+	"galenaridge/core/fleet"
+	"galenaridge/standin/harness"
+	"galenaridge/standin/jsontime"
+	"galenaridge/standin/logline"
+)
+
+// Report is the result of an experiment. All times count from the start of
+// the load.
+type Report struct {
+	Name string       `json:"name"`
+	Seed uint64       `json:"seed"`
+	Load bench.Report `json:"load"`
+	// Verdict compares what callers were told with what servers ran.
+	Verdict bench.Verdict `json:"verdict"`
+	Events  []Event       `json:"events"`
+	// Conditions are the changes of servers' conditions that owners logged.
+	Conditions []Condition `json:"conditions"`
+	Peaks      []Peak      `json:"peaks"`
+}
+
+// Condition is a change of the condition of a server.
+type Condition struct {
+	At     jsontime.Duration `json:"at"`
+	Server fleet.ServerID    `json:"server"`
+	Before string            `json:"before"`
+	After  string            `json:"after"`
+	Reason string            `json:"reason"`
+}
+
+// Peak is the highest load that a server of a service counted, and its limits.
+type Peak struct {
+	Service  fleet.ServiceName `json:"service"`
+	Requests int               `json:"requests"`
+	Slots    fleet.Slots       `json:"slots"`
+	Conns    int               `json:"conns"`
+	Limit    fleet.Conns       `json:"limit"`
+}
+
+// collectTimeout bounds the reading of the counts of servers, also after the
+// end of the context.
+const collectTimeout = 20 * time.Second
+
+// collect reads the counts of servers and the logs of instances.
+func collect(ctx context.Context, e Experiment, f *harness.Fleet, began time.Time, sent bench.Report, events []Event) (Report, error) {
+	if err := ctx.Err(); err != nil {
+		return Report{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	keys, err := f.ServerKeys(ctx)
+	if err != nil {
+		return Report{}, err
+	}
+	peaks, err := peaksOf(ctx, e, f)
+	if err != nil {
+		return Report{}, err
+	}
+	return Report{
+		Name:       e.Name,
+		Seed:       e.Seed,
+		Load:       sent,
+		Verdict:    sent.Verify(keys),
+		Events:     events,
+		Conditions: conditionsOf(f, began),
+		Peaks:      peaks,
+	}, nil
+}
+
+func peaksOf(ctx context.Context, e Experiment, f *harness.Fleet) ([]Peak, error) {
+	stats, err := f.ServerStats(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var peaks []Peak
+	for _, service := range e.deployment().Services {
+		peak := Peak{Service: service.Name, Slots: service.Slots, Limit: service.Conns}
+		for _, s := range stats {
+			if s.Service == service.Name {
+				peak.Requests = max(peak.Requests, s.PeakRequests)
+				peak.Conns = max(peak.Conns, s.PeakConns)
+			}
+		}
+		peaks = append(peaks, peak)
+	}
+	return peaks, nil
+}
+
+func conditionsOf(f *harness.Fleet, began time.Time) []Condition {
+	var conditions []Condition
+	for _, file := range f.LogFiles() {
+		for _, l := range logline.Read(file, began) {
+			if l.Message == logline.ConditionChanged {
+				conditions = append(conditions, Condition{jsontime.Duration(l.Time.Sub(began)), l.Server, l.Before, l.After, l.Reason})
+			}
+		}
+	}
+	slices.SortFunc(conditions, func(a, b Condition) int { return cmp.Compare(a.At, b.At) })
+	return conditions
+}
+
+// Broken lists what must always hold and did not.
+func (r Report) Broken() []string {
+	var broken []string
+	if !r.Verdict.OK() {
+		broken = append(broken, r.Verdict.String())
+	}
+	if r.Load.Total.Wrong > 0 {
+		broken = append(broken, fmt.Sprintf("%d callers got a wrong answer", r.Load.Total.Wrong))
+	}
+	for _, peak := range r.Peaks {
+		if peak.Requests > int(peak.Slots) || peak.Conns > int(peak.Limit) {
+			broken = append(broken, fmt.Sprintf("a server of %s was pushed past its limits", peak.Service))
+		}
+	}
+	for _, e := range r.Events {
+		if e.Failure != "" {
+			broken = append(broken, e.What+" failed: "+e.Failure)
+		}
+	}
+	return broken
+}
+
+// Table returns the report as text.
+func (r Report) Table() string {
+	var b strings.Builder
+	b.WriteString(r.Load.Table())
+	fmt.Fprintf(&b, "\n%s\n", r.Verdict)
+	for _, e := range r.Events {
+		fmt.Fprintf(&b, "%8s  %s\n", seconds(e.At), e.What)
+	}
+	for _, c := range r.Conditions {
+		fmt.Fprintf(&b, "%8s  server %s from %s to %s: %s\n", seconds(c.At), c.Server, c.Before, c.After, c.Reason)
+	}
+	for _, peak := range r.Peaks {
+		fmt.Fprintf(&b, "highest load on a server of %s: %d requests of %d slots, %d connections of %d\n",
+			peak.Service, peak.Requests, peak.Slots, peak.Conns, peak.Limit)
+	}
+	for _, broken := range r.Broken() {
+		fmt.Fprintf(&b, "BROKEN: %s\n", broken)
+	}
+	return b.String()
+}
+
+func seconds(d jsontime.Duration) string { return fmt.Sprintf("%.2fs", d.Std().Seconds()) }
+
+// Write writes report.json and load.png into the directory of the experiment
+// under out, and returns that directory.
+func (r Report) Write(out string) (string, error) {
+	dir := filepath.Join(out, r.Name)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return "", eris.Wrap(err, "make the output directory")
+	}
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return "", eris.Wrap(err, "encode the report")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.json"), append(text, '\n'), 0o644); err != nil {
+		return "", eris.Wrap(err, "write the report")
+	}
+	var marks []chart.Mark
+	for _, e := range r.Events {
+		marks = append(marks, chart.Mark{At: e.At.Std(), Label: e.What})
+	}
+	return dir, chart.Write(filepath.Join(dir, "load.png"), r.Name, r.Load, marks)
+}
--- /dev/null
+++ b/standin/experiment/run.go
@@ -0,0 +1,90 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/pool"
+
+	"galenaridge/bench"
+	"galenaridge/client"
+	"galenaridge/standin/harness"
+)
+
+// Options says where an experiment runs.
+type Options struct {
+	// Bin is the directory of the programs, and Examples that of the answers.
+	Bin, Examples string
+	// Dir keeps settings and logs; empty means a temporary directory.
+	Dir string
+	// Say receives one line for each step.
+	Say func(line string)
+}
+
+// readyTimeout bounds the start of a fleet.
+const readyTimeout = 40 * time.Second
+
+// Run runs an experiment. The end of the context ends the load early; the
+// report then holds what was sent until then.
+func Run(ctx context.Context, e Experiment, options Options) (Report, error) {
+	deployment := e.deployment()
+	config, err := e.config(options.Examples, 1)
+	if err != nil {
+		return Report{}, err
+	}
+	f, err := harness.Open(ctx, harness.Options{Deployment: deployment, Bin: options.Bin, Config: config, Dir: options.Dir})
+	if err != nil {
+		return Report{}, eris.Wrap(err, "start the fleet")
+	}
+	defer f.Close()
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(ready); err != nil {
+		return Report{}, eris.Wrap(err, "wait for the fleet")
+	}
+	options.Say("fleet is ready")
+	if err := wait(ctx, cmp.Or(e.Settle, defaultSettle)); err != nil {
+		return Report{}, err
+	}
+	return drive(ctx, e, options, f)
+}
+
+// drive sends load while faults happen, and collects the report.
+func drive(ctx context.Context, e Experiment, options Options, f *harness.Fleet) (Report, error) {
+	entries := f.Entries()
+	caller, err := client.New(client.Options{
+		Entries:  entries[:cmp.Or(e.Entries, len(entries))],
+		Domain:   e.deployment().Domains[0],
+		Via:      f.ClientVia(),
+		Deadline: e.Load.Deadline,
+		Seed:     cmp.Or(e.Seed, 1),
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	defer caller.Close()
+	inject := &injector{experiment: e, options: options, fleet: f, began: time.Now(), version: 1}
+	options.Say("load begins: " + e.Load.String())
+	var sent bench.Report
+	var events []Event
+	p := pool.New().WithErrors()
+	p.Go(func() error {
+		var err error
+		sent, err = bench.Run(ctx, bench.Options{
+			Plan:     e.Load.Plan(e.Seed),
+			Caller:   caller,
+			Progress: func(p bench.Progress) { options.Say(p.String()) },
+		})
+		return err
+	})
+	p.Go(func() error {
+		events = inject.run(ctx)
+		return nil
+	})
+	if err := p.Wait(); err != nil {
+		return Report{}, err
+	}
+	return collect(ctx, e, f, inject.began, sent, events)
+}
--- a/standin/measure/config.go
+++ b/standin/measure/config.go
@@ -10,6 +10,7 @@
 
 	"galenaridge/core/fleet"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/logline"
 	"galenaridge/standin/synthetic"
 )
 
@@ -118,11 +119,11 @@
 	if err := f.PublishConfig(ctx, text); err != nil {
 		return 0, err
 	}
-	return awaitLog(ctx, f, began, changeTimeout, func(lines map[harness.Slot][]logLine) (time.Time, bool) {
+	return awaitLog(ctx, f, began, changeTimeout, func(lines map[harness.Slot][]logline.Line) (time.Time, bool) {
 		var last time.Time
 		for _, slot := range f.Slots() {
-			i := slices.IndexFunc(lines[slot], func(l logLine) bool {
-				return l.Message == "configuration in force" && l.Version >= version
+			i := slices.IndexFunc(lines[slot], func(l logline.Line) bool {
+				return l.Message == logline.ConfigInForce && l.Version >= version
 			})
 			if i < 0 {
 				return last, false
--- a/standin/measure/takeover.go
+++ b/standin/measure/takeover.go
@@ -9,6 +9,7 @@
 	"galenaridge/core/fleet"
 	"galenaridge/io/operator"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/logline"
 	"galenaridge/standin/synthetic"
 )
 
@@ -95,7 +96,7 @@
 	if err := f.Kill(ctx, slot); err != nil {
 		return 0, 0, err
 	}
-	last, err = awaitLog(ctx, f, began, takeoverTimeout, func(lines map[harness.Slot][]logLine) (time.Time, bool) {
+	last, err = awaitLog(ctx, f, began, takeoverTimeout, func(lines map[harness.Slot][]logline.Line) (time.Time, bool) {
 		acquired := map[fleet.Resource]time.Time{}
 		for of, all := range lines {
 			for _, l := range all {
