--- a/Makefile
+++ b/Makefile
@@ -49,5 +49,8 @@
 prove: build ## Prove the invariants under faults (NAME=once,slots or all; DEPLOYMENT, SEED, INSTANCES).
 	bin/prove --name $(or $(NAME),all) --deployment $(DEPLOYMENT) --seed $(SEED) --instances $(INSTANCES)
 
+measure: build ## Measure the figures of the capacity page into docs/measurements (under 8 minutes).
+	bin/measure --seed $(SEED)
+
 clean: ## Remove build output.
 	rm -rf bin out
