--- a/core/health/commands.go
+++ b/core/health/commands.go
@@ -15,41 +15,6 @@
 	Deadline time.Duration
 }
 
-// Reading is what the owner knows about one of its servers at a tick.
-type Reading struct {
-	Server   fleet.ServerID
-	Snapshot Snapshot
-}
-
-// Effects lists what the control goroutine has to carry out.
-type Effects struct {
-	// Wants lists servers that now need a permit.
-	Wants []Wish
-	// Returns lists servers whose permits or wishes are given back.
-	Returns []fleet.ServerID
-	// Probes lists servers to probe.
-	Probes []Probe
-	// Releases lists servers that only this instance cannot reach; their
-	// ownership goes to the next candidate.
-	Releases []fleet.ServerID
-	// Trials lists servers whose trial begins.
-	Trials []fleet.ServerID
-}
-
-// Wish asks the steward for the permit to eject a server.
-type Wish struct {
-	Server fleet.ServerID
-	// Badness orders wishes; the worst servers are ejected first.
-	Badness float64
-}
-
-// Probe asks to probe a server.
-type Probe struct {
-	Server fleet.ServerID
-	// Peer asks a peer to probe as well.
-	Peer bool
-}
-
 // State decides about the owned servers of one service. It belongs to the
 // control goroutine.
 type State struct {
@@ -83,7 +48,7 @@
 		servers:      make(map[fleet.ServerID]*server),
 		started:      now,
 		ticked:       now,
-		resumed:      now,
+		resumed:      now.Add(-settleTime),
 		learnedSince: now,
 	}
 }
@@ -142,7 +107,7 @@
 	if now.Sub(s.resumed) < settleTime {
 		ended = tally{succeeded: ended.succeeded}
 	}
-	v.succeeded(&ended)
+	v.succeeded(now, &ended)
 	if v.status.Condition == Healthy {
 		s.learned.add(&ended.latencies)
 	}
@@ -182,8 +147,11 @@
 }
 
 // succeeded counts successes in a row.
-func (v *server) succeeded(ended *tally) {
+func (v *server) succeeded(now time.Time, ended *tally) {
 	v.trialLatencies.add(&ended.latencies)
+	if ended.succeeded > 0 {
+		v.progress = now
+	}
 	if ended.failed > 0 {
 		v.successes = 0
 		return
@@ -211,146 +179,6 @@
 	}
 }
 
-// decide moves one server to another condition if the evidence asks for it.
-func (s *State) decide(now time.Time, v *server, taking fleet.Servers, effects *Effects) {
-	if v.refusals >= s.thresholds.refusals && v.status.Condition != Dead && v.status.Condition != Draining {
-		s.die(now, v, effects)
-		return
-	}
-	switch v.status.Condition {
-	case Healthy:
-		s.decideHealthy(now, v, taking, effects)
-	case Suspect:
-		s.decideSuspect(now, v, effects)
-	case Ejected:
-		s.decideEjected(now, v, effects)
-	case Trial:
-		s.decideTrial(now, v, effects)
-	case Dead, Draining:
-		s.decideUnusable(now, v, effects)
-	}
-}
-
-// die takes a server that refuses connections out of use.
-func (s *State) die(now time.Time, v *server, effects *Effects) {
-	v.leave(now, Dead, Refusing, effects)
-	v.backoff = firstBackoff
-	v.nextProbe = time.Time{}
-	v.probe(now, true, effects)
-	v.nextProbe = now.Add(v.backoff)
-}
-
-// decideHealthy suspects a server that has evidence against it.
-func (s *State) decideHealthy(now time.Time, v *server, taking fleet.Servers, effects *Effects) {
-	v.decay(now)
-	found := s.judge(now, v)
-	v.noteSlow(now, found.reason == Slow)
-	if found.reason == NoReason || taking <= 1 {
-		return
-	}
-	if found.reason == Slow && now.Sub(v.slowSince) < s.thresholds.slowHold {
-		return
-	}
-	v.suspect(now, found, effects)
-	if found.reason == Stalled {
-		v.probe(now, true, effects)
-	}
-}
-
-// noteSlow keeps since when a server is slow.
-func (v *server) noteSlow(now time.Time, slow bool) {
-	switch {
-	case slow && v.slowSince.IsZero():
-		v.slowSince = now
-		v.slowSeen = now
-	case slow:
-		v.slowSeen = now
-	case now.Sub(v.slowSeen) > slowLapse:
-		v.slowSince = time.Time{}
-	}
-}
-
-// decideSuspect clears a server whose evidence is gone.
-func (s *State) decideSuspect(now time.Time, v *server, effects *Effects) {
-	found := s.judge(now, v)
-	if found.reason != NoReason {
-		if v.status.Reason == Untested {
-			effects.Wants = append(effects.Wants, Wish{Server: v.status.Server, Badness: found.badness})
-		}
-		v.status.Reason = found.reason
-		v.status.Badness = found.badness
-		v.cleanSince = time.Time{}
-		v.successes = 0
-		return
-	}
-	if v.cleanSince.IsZero() {
-		v.cleanSince = now
-	}
-	clean := now.Sub(v.cleanSince)
-	tested := v.successes >= s.thresholds.successes && clean >= s.thresholds.clear
-	if tested || clean >= staleEvidence {
-		v.reinstate(now, effects)
-	}
-}
-
-// decideEjected begins a trial when the ejection time is over and no attempt
-// from before is left, whose failure would count against the trial.
-func (s *State) decideEjected(now time.Time, v *server, effects *Effects) {
-	if now.Before(v.ejectedUntil) || v.snapshot.InFlight > 0 {
-		return
-	}
-	v.change(now, Trial, v.status.Reason, v.status.Badness)
-	v.window.clear()
-	v.trialLatencies = histogram{}
-	effects.Trials = append(effects.Trials, v.status.Server)
-}
-
-// decideTrial ends a trial after enough successes in a row or one failure.
-func (s *State) decideTrial(now time.Time, v *server, effects *Effects) {
-	c := s.compare(now, v)
-	patience := now.Sub(s.resumed)
-	if v.window.sum.failed > 0 || c.overdue(&v.snapshot, patience) > 0 {
-		v.eject(now, &s.thresholds, true)
-		return
-	}
-	age := now.Sub(v.status.Since)
-	if v.successes >= s.thresholds.successes {
-		s.endTrial(now, v, c.excess(&v.trialLatencies) > 0, effects)
-		return
-	}
-	if v.snapshot.InFlight == 0 && v.successes == 0 && age >= idleTrial {
-		v.change(now, Suspect, Untested, 0)
-		v.status.Permit = false
-		effects.Returns = append(effects.Returns, v.status.Server)
-	}
-}
-
-// endTrial reinstates a server, unless it is still slow. It may have been
-// restarted while it was ejected, so it gets the time to warm up.
-func (s *State) endTrial(now time.Time, v *server, slow bool, effects *Effects) {
-	if !slow {
-		v.reinstate(now, effects)
-		return
-	}
-	if now.Sub(v.status.Since) >= s.thresholds.warmup {
-		v.eject(now, &s.thresholds, true)
-		return
-	}
-	v.successes = 0
-	v.trialLatencies = histogram{}
-}
-
-// decideUnusable probes a server again that takes no work.
-func (s *State) decideUnusable(now time.Time, v *server, effects *Effects) {
-	if now.Before(v.nextProbe) {
-		return
-	}
-	v.backoff = min(max(2*v.backoff, firstBackoff), lastBackoff)
-	v.nextProbe = time.Time{}
-	v.probe(now, v.status.Condition == Dead, effects)
-	v.nextProbe = now.Add(v.backoff)
-}
-
 // Baseline takes the recent median latency of the whole service.
 func (s *State) Baseline(now time.Time, median time.Duration) {
 	s.baseline = median
@@ -406,6 +234,9 @@
 		return effects
 	}
 	v.probes[by] = probeResult{at: now, reachable: reachable}
+	if by == Self && reachable {
+		v.released = false
+	}
 	switch {
 	case v.status.Condition == Dead && by == Self && reachable:
 		v.reinstate(now, &effects)
--- a/core/health/server.go
+++ b/core/health/server.go
@@ -23,7 +23,9 @@
 	cleanSince time.Time
 	// successes counts successes in a row since the condition began.
 	successes int
-	refusals  int
+	// progress is when the condition began or a request last succeeded.
+	progress time.Time
+	refusals int
 
 	// episode is true from the first ejection until the server is healthy.
 	episode      bool
@@ -54,6 +56,7 @@
 	v.cleanSince = time.Time{}
 	v.slowSince = time.Time{}
 	v.successes = 0
+	v.progress = now
 }
 
 // reinstate moves the server to health and gives its permit or wish back.
--- a/core/health/thresholds.go
+++ b/core/health/thresholds.go
@@ -18,7 +18,7 @@
 	settleTime = 500 * time.Millisecond
 	// decayTime is the time in health after which one relapse is forgotten.
 	decayTime = 2 * time.Minute
-	// idleTrial ends a trial for which no idempotent request came, so that a
+	// idleTrial ends a trial for which no idempotent requests come, so that a
 	// service without such requests does not lose the server for good.
 	idleTrial = 15 * time.Second
 	// staleEvidence clears a suspect server that gets no requests.
