--- a/core/health/commands.go
+++ b/core/health/commands.go
@@ -108,7 +108,7 @@
 		ended = tally{succeeded: ended.succeeded}
 	}
 	v.succeeded(now, &ended)
-	if v.status.Condition == Healthy {
+	if v.status.Condition == Healthy && ended.timed > 0 {
 		s.learned.add(&ended.latencies)
 	}
 	if now.Before(v.warmUntil) {
@@ -148,10 +148,12 @@
 
 // succeeded counts successes in a row.
 func (v *server) succeeded(now time.Time, ended *tally) {
-	v.trialLatencies.add(&ended.latencies)
 	if ended.succeeded > 0 {
 		v.progress = now
 	}
+	if ended.timed > 0 {
+		v.trialLatencies.add(&ended.latencies)
+	}
 	if ended.failed > 0 {
 		v.successes = 0
 		return
--- a/core/health/window.go
+++ b/core/health/window.go
@@ -53,6 +53,9 @@
 // record adds attempts that ended at an offset from the state's start.
 func (w *window) record(offset time.Duration, t *tally) {
 	w.advance(offset)
+	if t.attempts() == 0 && t.timed == 0 {
+		return
+	}
 	w.buckets[w.head%windowBuckets].add(t)
 	w.sum.add(t)
 }
