--- a/core/health/detect.go
+++ b/core/health/detect.go
@@ -74,6 +74,9 @@
 // Overdue requests count as failures before they end.
 func (c *comparison) failing(w *window, overdue int) float64 {
 	t := c.thresholds
+	if w.sum.failed+overdue == 0 {
+		return 0
+	}
 	recent := w.latest(t.shareAttempts)
 	failed := recent.failed + overdue
 	attempts := recent.attempts() + overdue
--- a/core/health/window.go
+++ b/core/health/window.go
@@ -82,15 +82,17 @@
 	w.sum = tally{}
 }
 
-// latest returns the newest attempts: as few buckets as hold count of them,
-// or the whole window if it holds fewer.
+// latest counts the newest attempts, without latencies: as few buckets as
+// hold count of them, or the whole window if it holds fewer.
 func (w *window) latest(count int) tally {
 	var sum tally
 	for back := range int64(windowBuckets) {
 		if w.head < back || sum.attempts() >= count {
 			break
 		}
-		sum.add(&w.buckets[(w.head-back)%windowBuckets])
+		bucket := &w.buckets[(w.head-back)%windowBuckets]
+		sum.succeeded += bucket.succeeded
+		sum.failed += bucket.failed
 	}
 	return sum
 }
