--- a/core/admission/commands.go
+++ b/core/admission/commands.go
@@ -37,6 +37,10 @@
 	Server fleet.ServerID
 	Slots  fleet.Slots
 	Use    Use
+	// Until is when the server becomes one of last resort, whatever Use says;
+	// zero means never. It is the end of the ejection permit, so that the
+	// server returns in time even if the control goroutine is late.
+	Until time.Time
 }
 
 // Ask describes a request that needs a slot.
@@ -135,6 +139,7 @@
 	if ask.expired(now) {
 		return nil, nil, errExpired
 	}
+	p.servers.lapse(now)
 	if err := p.servers.refusal(ask); err != nil {
 		return nil, nil, err
 	}
@@ -194,6 +199,7 @@
 		return
 	}
 	g.released = true
+	p.servers.lapse(now)
 	p.mean += (now.Sub(g.since) - p.mean) / meanWeight
 	p.servers.update(g.server, func(s *server) { s.busy &^= 1 << g.Slot })
 	p.dispatch(now)
@@ -206,6 +212,7 @@
 	p.mu.Lock()
 	defer p.unlock()
 	p.servers.set(listed)
+	p.servers.lapse(now)
 	p.queue.sweep(p.servers.refusal)
 	p.dispatch(now)
 }
@@ -246,6 +253,7 @@
 func (p *Pool) Expire(now time.Time) {
 	p.mu.Lock()
 	defer p.unlock()
+	p.servers.lapse(now)
 	p.queue.sweep(func(ask *Ask) error {
 		if ask.expired(now) {
 			return errExpired
--- a/core/admission/pool_test.go
+++ b/core/admission/pool_test.go
@@ -177,6 +177,33 @@
 	require.Equal(t, exchange.Load{Slots: 2}, p.Load())
 }
 
+// TestUntil guards against a server that stays ejected without a permit
+// because the control goroutine is late.
+func TestUntil(t *testing.T) {
+	tests := []struct {
+		name string
+		use  Use
+		ask  Ask
+		at   time.Duration
+		ok   bool
+	}{
+		{"ejected", None, Ask{}, 2 * time.Second, false},
+		{"ejection over", None, Ask{}, 3 * time.Second, true},
+		{"trial", Trial, Ask{Protected: true}, 2 * time.Second, false},
+		{"trial over", Trial, Ask{Protected: true}, 3 * time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := newPool(clock)
+			p.SetServers([]ServerSlots{{Server: "a", Slots: 2, Use: test.use, Until: clock.Now().Add(3 * time.Second)}})
+			clock.Advance(test.at)
+			_, err := p.Acquire(t.Context(), test.ask)
+			require.Equal(t, test.ok, err == nil, "%v", err)
+		})
+	}
+}
+
 // TestFairness guards against tenants that get more than their weight, and
 // against unprotected requests that pass protected ones.
 func TestFairness(t *testing.T) {
--- a/core/admission/servers.go
+++ b/core/admission/servers.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 	"slices"
+	"time"
 
 	"galenaridge/core/fleet"
 )
@@ -20,6 +21,7 @@
 	id       fleet.ServerID
 	slots    int
 	use      Use
+	until    time.Time
 	draining bool
 	// listed is false after the server was left out of SetServers.
 	listed bool
@@ -121,6 +123,8 @@
 	busy   int
 	// draining counts listed servers that are drained.
 	draining int
+	// nextLapse is the earliest end of a use; zero if none ends.
+	nextLapse time.Time
 }
 
 // update runs a change of one server and keeps lists and counts right.
@@ -173,6 +177,7 @@
 			s.listed = true
 			s.slots = min(int(l.Slots), maxSlots)
 			s.use = l.Use
+			s.until = l.Until
 		})
 	}
 	for id, s := range t.byID {
@@ -180,6 +185,31 @@
 			t.update(s, func(s *server) { s.listed, s.draining = false, false })
 		}
 	}
+	t.schedule()
+}
+
+// schedule finds the earliest end of a use.
+func (t *servers) schedule() {
+	t.nextLapse = time.Time{}
+	for _, s := range t.byID {
+		if !s.until.IsZero() && (t.nextLapse.IsZero() || s.until.Before(t.nextLapse)) {
+			t.nextLapse = s.until
+		}
+	}
+}
+
+// lapse ends the uses whose time has passed.
+func (t *servers) lapse(now time.Time) {
+	if t.nextLapse.IsZero() || now.Before(t.nextLapse) {
+		return
+	}
+	for _, s := range t.byID {
+		if s.until.IsZero() || now.Before(s.until) {
+			continue
+		}
+		t.update(s, func(s *server) { s.use, s.until = LastResort, time.Time{} })
+	}
+	t.schedule()
 }
 
 // choose returns a server for a request; nil if no slot is free for it.
--- /dev/null
+++ b/core/floor/example_test.go
@@ -0,0 +1,36 @@
+package floor_test
+
+import (
+	"fmt"
+	"time"
+
+	"galenaridge/core/fleet"
+	"galenaridge/core/floor"
+)
+
+// Example ejects one of two bad servers, as the floor allows only one.
+func Example() {
+	now := time.Unix(0, 0)
+	steward := floor.NewSteward(2)
+	steward.Become(now)
+	steward.Extend(now.Add(time.Hour))
+	holder := floor.NewHolder(fleet.Member{ID: "gr-1"})
+	usable := []fleet.ServerID{"c1", "c2", "c3"}
+	wishes := []floor.Wish{{Server: "c1", Badness: 1}, {Server: "c2", Badness: 3}}
+	for range 8 {
+		report := holder.Compose(now, usable, wishes, 0)
+		reply := steward.Receive(now, report)
+		change := holder.Accept(now, reply)
+		fmt.Println(now.Unix(), report.Usable, reply.Ready, change.Granted)
+		now = now.Add(time.Second)
+	}
+	// Output:
+	// 0 0 false []
+	// 1 0 false []
+	// 2 0 false []
+	// 3 0 true []
+	// 4 0 true []
+	// 5 0 true []
+	// 6 3 true [c2]
+	// 7 3 true [c2]
+}
