Refuse waiting requests whose answers would come late

A request was given a slot as long as its deadline had not passed, so that under overload the servers worked on answers that nobody waited for. A slot goes now to a request only if nearly all service times fit the time left, and the deviation of service times counts in the early refusal too.

--- a/core/admission/commands.go
+++ b/core/admission/commands.go
@@ -16,8 +16,12 @@
 	defaultQueue = 2048
 	// defaultService is assumed before a service time is measured.
 	defaultService = 50 * time.Millisecond
-	// meanWeight is the inverse weight of one service time in the mean.
+	// meanWeight is the inverse weight of one service time in the mean and in
+	// the deviation.
 	meanWeight = 32
+	// deviations is how many mean deviations above the mean a service time is
+	// expected to be at most; twice covers nearly all of a bounded spread.
+	deviations = 2
 	// minAfter and maxAfter bound the time after which a refused request may
 	// be sent again.
 	minAfter = 50 * time.Millisecond
@@ -66,7 +70,9 @@
 	mu      sync.Mutex
 	servers servers
 	queue   queue
-	mean    time.Duration
+	// mean and deviation are those of recent service times.
+	mean      time.Duration
+	deviation time.Duration
 }
 
 // New returns a pool without servers.
@@ -159,7 +165,7 @@
 
 // dispatch gives free slots to waiting requests.
 func (p *Pool) dispatch(now time.Time) {
-	p.queue.dispatch(now, &p.servers, func(w *waiter, s *server) *Grant {
+	p.queue.dispatch(&p.servers, func(w *waiter) error { return p.late(now, w) }, func(w *waiter, s *server) *Grant {
 		return p.grant(now, w.since, s)
 	})
 }
@@ -194,11 +200,18 @@
 		return
 	}
 	g.released = true
-	p.mean += (now.Sub(g.since) - p.mean) / meanWeight
+	p.learn(now.Sub(g.since))
 	p.servers.update(g.server, func(s *server) { s.busy &^= 1 << g.Slot })
 	p.dispatch(now)
 }
 
+// learn adds a service time to the mean and the deviation.
+func (p *Pool) learn(took time.Duration) {
+	off := took - p.mean
+	p.mean += off / meanWeight
+	p.deviation += (off.Abs() - p.deviation) / meanWeight
+}
+
 // SetServers replaces the list of servers. Requests in flight on a server
 // that is no longer listed keep their slots until they end.
 func (p *Pool) SetServers(listed []ServerSlots) {
--- a/core/admission/pool_test.go
+++ b/core/admission/pool_test.go
@@ -287,3 +287,49 @@
 		})
 	}
 }
+
+// TestLate guards against slots that are given to requests whose answers
+// would come after their deadlines.
+func TestLate(t *testing.T) {
+	tests := []struct {
+		name     string
+		deadline time.Duration
+		waits    time.Duration
+		err      func(error) bool
+	}{
+		{"in time", 400 * time.Millisecond, 100 * time.Millisecond, nil},
+		{"less than a service time left", 400 * time.Millisecond, 350 * time.Millisecond, func(err error) bool {
+			_, overloaded := Overloaded(err)
+			return overloaded
+		}},
+		{"deadline passed", 400 * time.Millisecond, 400 * time.Millisecond, IsExpired},
+		{"service time above half of the deadline", 160 * time.Millisecond, 79 * time.Millisecond, nil},
+		{"no deadline", 0, time.Hour, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := newPool(clock, Normal)
+			first, _, err := p.enter(clock.Now(), &Ask{})
+			require.NoError(t, err)
+			_, _, err = p.enter(clock.Now(), &Ask{})
+			require.NoError(t, err)
+			ask := Ask{}
+			if test.deadline > 0 {
+				ask.Deadline = clock.Now().Add(test.deadline)
+			}
+			_, w, err := p.enter(clock.Now(), &ask)
+			require.NoError(t, err)
+			clock.Advance(test.waits)
+			// The mean stays at 100 ms.
+			first.since = clock.Now().Add(-100 * time.Millisecond)
+			first.Release()
+			<-w.ready
+			if test.err == nil {
+				require.NoError(t, w.err)
+				return
+			}
+			require.True(t, test.err(w.err), "%v", w.err)
+		})
+	}
+}
--- a/core/admission/queries.go
+++ b/core/admission/queries.go
@@ -58,13 +58,38 @@
 		mine = t.waiting()
 	}
 	full := mine >= p.queue.share(ask, p.size) || p.queue.waiting >= 2*p.size
-	late := !ask.Deadline.IsZero() && now.Add(wait+p.mean).After(ask.Deadline)
+	late := !ask.Deadline.IsZero() && now.Add(wait+p.longest()).After(ask.Deadline)
 	if !full && !late {
 		return nil
 	}
+	return refuseFor(wait)
+}
+
+func refuseFor(wait time.Duration) error {
 	return &OverloadedError{After: min(max(wait, minAfter), maxAfter)}
 }
 
+// longest returns how long nearly all service times are at most.
+func (p *Pool) longest() time.Duration { return p.mean + deviations*p.deviation }
+
+// late returns an error if a waiting request can no longer be answered in
+// time. Starting it would take a slot for an answer that nobody waits for.
+// The service time counts as half of the deadline at most, so that timeouts,
+// which raise the mean, do not stop the queue.
+func (p *Pool) late(now time.Time, w *waiter) error {
+	deadline := w.ask.Deadline
+	if deadline.IsZero() {
+		return nil
+	}
+	if !now.Before(deadline) {
+		return errExpired
+	}
+	if left := deadline.Sub(now); left < min(p.longest(), deadline.Sub(w.since)/2) {
+		return refuseFor(p.mean)
+	}
+	return nil
+}
+
 // expectedWait estimates the time until a request that is queued now gets a
 // slot: the next slot comes free after a mean service time divided by the
 // slots, and each request ahead takes one.
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -119,9 +119,10 @@
 	q.round.MoveToBack(t.element)
 }
 
-// dispatch gives free slots to waiting requests. Grant takes a slot of the
-// server for the request.
-func (q *queue) dispatch(now time.Time, servers *servers, grant func(*waiter, *server) *Grant) {
+// dispatch gives free slots to waiting requests. Late returns an error for a
+// request that must not be started any more. Grant takes a slot of the server
+// for the request.
+func (q *queue) dispatch(servers *servers, late func(*waiter) error, grant func(*waiter, *server) *Grant) {
 	for visits := 0; q.waiting > 0 && visits < min(q.round.Len(), maxVisits); {
 		general, trial := servers.anyFree()
 		if !general && (!trial || q.idempotent == 0) {
@@ -132,7 +133,7 @@
 			t.visited = true
 			t.deficit += t.weight
 		}
-		w, s := q.next(now, t, servers)
+		w, s := q.next(t, servers, late)
 		if w == nil {
 			if t.waiting() > 0 {
 				q.rotate(t)
@@ -150,15 +151,15 @@
 }
 
 // next returns the first request of a tenant that can use a free slot, and
-// the server. Requests whose deadline has passed are dropped on the way.
-func (q *queue) next(now time.Time, t *tenant, servers *servers) (*waiter, *server) {
+// the server. Requests that are late are dropped on the way.
+func (q *queue) next(t *tenant, servers *servers, late func(*waiter) error) (*waiter, *server) {
 	for _, l := range []*list.List{&t.protected, &t.other} {
 		tried := 0
 		for e := l.Front(); e != nil && tried < lookAhead; {
 			w := e.Value.(*waiter)
 			e = e.Next()
-			if w.ask.expired(now) {
-				q.finish(w, nil, errExpired)
+			if err := late(w); err != nil {
+				q.finish(w, nil, err)
 				continue
 			}
 			if s := servers.choose(&w.ask); s != nil {
