Hold a slot while the server may still work on a request given up

The slot of an attempt that timed out or broke was used again at once, and the next request could reach the server before it had ended the first one. The slot now comes free 250 ms after a timeout, by which the clock of the server may be late, and 50 ms after a connection was closed.

--- a/core/admission/commands.go
+++ b/core/admission/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,14 @@
 	// mean and deviation are those of recent service times.
 	mean      time.Duration
 	deviation time.Duration
+	// held lists the slots that come free later.
+	held []held
+}
+
+// held is a slot that comes free at a time.
+type held struct {
+	grant *Grant
+	until time.Time
 }
 
 // New returns a pool without servers.
@@ -201,10 +210,42 @@
 	}
 	g.released = true
 	p.learn(now.Sub(g.since))
-	p.servers.update(g.server, func(s *server) { s.busy &^= 1 << g.Slot })
+	p.free(g)
 	p.dispatch(now)
 }
 
+// ReleaseAfter gives the slot back at the first call of Expire after a time,
+// in which the server may still work on the request; only the first call of
+// this or of Release has an effect.
+func (g *Grant) ReleaseAfter(hold time.Duration) {
+	p := g.pool
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.unlock()
+	if g.released {
+		return
+	}
+	g.released = true
+	p.learn(now.Sub(g.since))
+	p.held = append(p.held, held{g, now.Add(hold)})
+}
+
+// free marks the slot of a grant as free.
+func (p *Pool) free(g *Grant) {
+	p.servers.update(g.server, func(s *server) { s.busy &^= 1 << g.Slot })
+}
+
+// freeHeld frees the held slots whose time has come.
+func (p *Pool) freeHeld(now time.Time) {
+	p.held = slices.DeleteFunc(p.held, func(h held) bool {
+		due := !now.Before(h.until)
+		if due {
+			p.free(h.grant)
+		}
+		return due
+	})
+}
+
 // learn adds a service time to the mean and the deviation.
 func (p *Pool) learn(took time.Duration) {
 	off := took - p.mean
@@ -254,11 +295,12 @@
 	}
 }
 
-// Expire refuses waiting requests whose deadline has passed. The control
-// goroutine calls it on its tick.
+// Expire refuses waiting requests whose deadline has passed, and frees the
+// slots that were held for a time. The control goroutine calls it on its tick.
 func (p *Pool) Expire(now time.Time) {
 	p.mu.Lock()
 	defer p.unlock()
+	p.freeHeld(now)
 	p.queue.sweep(func(ask *Ask) error {
 		if ask.expired(now) {
 			return errExpired
--- a/core/admission/pool_test.go
+++ b/core/admission/pool_test.go
@@ -333,3 +333,49 @@
 		})
 	}
 }
+
+// TestReleaseAfter guards against a slot that is used while the server still
+// works on a request that was given up, and against one that is never freed.
+func TestReleaseAfter(t *testing.T) {
+	const hold = 100 * time.Millisecond
+	tests := []struct {
+		name  string
+		drain bool
+		after time.Duration
+		free  bool
+	}{
+		{"held", false, hold - time.Millisecond, false},
+		{"free", false, hold, true},
+		{"drained while held", true, hold - time.Millisecond, false},
+		{"drained", true, hold, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := newPool(clock, Normal)
+			for range 2 {
+				g, err := p.Acquire(t.Context(), Ask{})
+				require.NoError(t, err)
+				g.ReleaseAfter(hold)
+				g.Release()
+			}
+			var freed <-chan struct{}
+			if test.drain {
+				freed = p.Drain("a")
+			} else {
+				_, w, err := p.enter(clock.Now(), &Ask{})
+				require.NoError(t, err)
+				require.NotNil(t, w)
+				freed = w.ready
+			}
+			clock.Advance(test.after)
+			p.Expire(clock.Now())
+			select {
+			case <-freed:
+				require.True(t, test.free)
+			default:
+				require.False(t, test.free)
+			}
+		})
+	}
+}
--- a/core/traffic/local.go
+++ b/core/traffic/local.go
@@ -70,7 +70,8 @@
 
 // attempt sends the request to the server of the grant and gives the slot back.
 func (e *Engine) attempt(ctx context.Context, service *control.Service, grant *admission.Grant, request exchange.Request, before trial) trial {
-	defer grant.Release()
+	clear := time.Duration(0)
+	defer func() { release(grant, clear) }()
 	server, owned := service.Servers[grant.Server]
 	if !owned {
 		// The pool was changed after the view was read.
@@ -86,6 +87,7 @@
 		MayWrite: func() bool { return e.mayWrite(server.Listed.ID) },
 		Deadline: e.serverDeadline(request, service.Config.Deadline),
 	})
+	clear = clearing(evidence)
 	server.Counters.Finish(grant.Slot, e.options.Clock.Now(), resultOf(response, evidence))
 	if evidence.Draining && server.Listed.Presence != fleet.Leaving {
 		e.options.Drains.ServerDraining(request.Service, server.Listed.ID)
@@ -97,6 +99,38 @@
 	}
 }
 
+const (
+	// clearTimedOut is how long a server may work on a request after its
+	// deadline: the server ends it by its own clock, which may be late by
+	// that.
+	clearTimedOut = 250 * time.Millisecond
+	// clearBroken is how long a server may work on a request whose connection
+	// was closed: the end of the connection has to reach it.
+	clearBroken = 50 * time.Millisecond
+)
+
+// clearing returns how long a server may still work on a request after its
+// attempt ended here. Its slot must not be used in that time.
+func clearing(evidence Evidence) time.Duration {
+	switch {
+	case !evidence.Written || evidence.Complete:
+		return 0
+	case evidence.TimedOut:
+		return clearTimedOut
+	default:
+		return clearBroken
+	}
+}
+
+// release gives a slot back, at once or after a time.
+func release(grant *admission.Grant, after time.Duration) {
+	if after > 0 {
+		grant.ReleaseAfter(after)
+		return
+	}
+	grant.Release()
+}
+
 // mayWrite is the right to send, checked on the monotonic clock right before
 // the first byte.
 func (e *Engine) mayWrite(server fleet.ServerID) bool {
