Let an instance keep one retry token for a service

Each instance kept up to 10 tokens, so a service that failed got far more than a tenth of its load as retries at first. The defaults for the initial allowance and the cap are 1. The test states the new defaults and tests larger ones by options.

--- a/core/retry/commands.go
+++ b/core/retry/commands.go
@@ -9,9 +9,11 @@
 	// failing upstream must see at most a tenth more load.
 	earned = 1
 	// defaultInitial lets the first failures after a start be retried.
-	defaultInitial = 3
-	// defaultCap bounds the burst of retries when a busy upstream fails.
-	defaultCap = 10
+	defaultInitial = 1
+	// defaultCap bounds the burst of retries when an upstream fails. Each
+	// instance has a budget of its own: at 400 instances 10 tokens each would
+	// be several seconds of the load of a service.
+	defaultCap = 1
 )
 
 // Options configures a budget; zero values take the defaults.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -38,10 +38,12 @@
 		firsts  int
 		want    int
 	}{
-		{"initial allowance", Options{}, 0, 3},
-		{"no token below ten attempts", Options{Initial: 1}, 9, 1},
+		{"initial allowance", Options{}, 0, 1},
+		{"larger allowance", Options{Initial: 3, Cap: 10}, 0, 3},
+		{"no token below ten attempts", Options{Initial: 1, Cap: 10}, 9, 1},
 		{"a tenth", Options{Initial: 1, Cap: 1000}, 1000, 101},
-		{"cap", Options{}, 1000, 10},
+		{"cap", Options{}, 1000, 1},
+		{"larger cap", Options{Cap: 10}, 1000, 10},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
