--- a/core/admission/commands.go
+++ b/core/admission/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +17,12 @@
 	defaultQueue = 2048
 	// defaultService is assumed before a service time is measured.
 	defaultService = 50 * time.Millisecond
-	// meanWeight is the inverse weight of one service time in the mean.
+	// meanWeight is the inverse weight of one service time in the mean and in
+	// the deviation.
 	meanWeight = 32
+	// deviations is how many mean deviations above the mean a service time is
+	// expected to be at most; twice covers nearly all of a bounded spread.
+	deviations = 2
 	// minAfter and maxAfter bound the time after which a refused request may
 	// be sent again.
 	minAfter = 50 * time.Millisecond
@@ -70,7 +75,17 @@
 	mu      sync.Mutex
 	servers servers
 	queue   queue
-	mean    time.Duration
+	// mean and deviation are those of recent service times.
+	mean      time.Duration
+	deviation time.Duration
+	// held lists the slots that come free later.
+	held []held
+}
+
+// held is a slot that comes free at a time.
+type held struct {
+	grant *Grant
+	until time.Time
 }
 
 // New returns a pool without servers.
@@ -164,7 +179,7 @@
 
 // dispatch gives free slots to waiting requests.
 func (p *Pool) dispatch(now time.Time) {
-	p.queue.dispatch(now, &p.servers, func(w *waiter, s *server) *Grant {
+	p.queue.dispatch(&p.servers, func(w *waiter) error { return p.late(now, w) }, func(w *waiter, s *server) *Grant {
 		return p.grant(now, w.since, s)
 	})
 }
@@ -200,11 +215,50 @@
 	}
 	g.released = true
 	p.servers.lapse(now)
-	p.mean += (now.Sub(g.since) - p.mean) / meanWeight
-	p.servers.update(g.server, func(s *server) { s.busy &^= 1 << g.Slot })
+	p.learn(now.Sub(g.since))
+	p.free(g)
 	p.dispatch(now)
 }
 
+// ReleaseAfter gives the slot back at the first call of Expire after a time,
+// in which the server may still work on the request; only the first call of
+// this or of Release has an effect.
+func (g *Grant) ReleaseAfter(hold time.Duration) {
+	p := g.pool
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.unlock()
+	if g.released {
+		return
+	}
+	g.released = true
+	p.learn(now.Sub(g.since))
+	p.held = append(p.held, held{g, now.Add(hold)})
+}
+
+// free marks the slot of a grant as free.
+func (p *Pool) free(g *Grant) {
+	p.servers.update(g.server, func(s *server) { s.busy &^= 1 << g.Slot })
+}
+
+// freeHeld frees the held slots whose time has come.
+func (p *Pool) freeHeld(now time.Time) {
+	p.held = slices.DeleteFunc(p.held, func(h held) bool {
+		due := !now.Before(h.until)
+		if due {
+			p.free(h.grant)
+		}
+		return due
+	})
+}
+
+// learn adds a service time to the mean and the deviation.
+func (p *Pool) learn(took time.Duration) {
+	off := took - p.mean
+	p.mean += off / meanWeight
+	p.deviation += (off.Abs() - p.deviation) / meanWeight
+}
+
 // SetServers replaces the list of servers. Requests in flight on a server
 // that is no longer listed keep their slots until they end.
 func (p *Pool) SetServers(listed []ServerSlots) {
@@ -248,12 +302,13 @@
 	}
 }
 
-// Expire refuses waiting requests whose deadline has passed. The control
-// goroutine calls it on its tick.
+// Expire refuses waiting requests whose deadline has passed, and frees the
+// slots that were held for a time. The control goroutine calls it on its tick.
 func (p *Pool) Expire(now time.Time) {
 	p.mu.Lock()
 	defer p.unlock()
 	p.servers.lapse(now)
+	p.freeHeld(now)
 	p.queue.sweep(func(ask *Ask) error {
 		if ask.expired(now) {
 			return errExpired
