--- /dev/null
+++ b/io/process/bench_test.go
@@ -0,0 +1,155 @@
+package process_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"galenaridge/core/fleet"
+	"galenaridge/io/process"
+	"galenaridge/io/setting"
+	"galenaridge/standin/harness"
+	"galenaridge/standin/platform"
+	"galenaridge/standin/synthetic"
+)
+
+// benchServers is the number of servers of the benchmark's service.
+const benchServers = 20
+
+// BenchmarkRequest measures a request through one instance that owns all
+// servers, and the same request sent to a server directly. Client, instance
+// and servers share the process, so the difference of both is what the
+// instance costs.
+func BenchmarkRequest(b *testing.B) {
+	servers, entry := startPath(b)
+	tests := []struct {
+		name, method, url string
+	}{
+		{"direct", fasthttp.MethodGet, "http://" + string(servers[0]) + "/items"},
+		{"read", fasthttp.MethodGet, "http://" + entry + "/service-1/items"},
+		{"protected", fasthttp.MethodPost, "http://" + entry + "/service-1/items"},
+	}
+	for _, tt := range tests {
+		b.Run(tt.name, func(b *testing.B) {
+			client := &fasthttp.Client{MaxConnsPerHost: 1024, MaxIdemponentCallAttempts: 1}
+			defer client.CloseIdleConnections()
+			require.Eventually(b, func() bool { return ask(client, tt.method, tt.url) == fasthttp.StatusOK }, 10*time.Second, 50*time.Millisecond)
+			b.ReportAllocs()
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if status := ask(client, tt.method, tt.url); status != fasthttp.StatusOK {
+						b.Errorf("status %d", status)
+						return
+					}
+				}
+			})
+		})
+	}
+}
+
+// ask sends a request and returns its status; 0 after a failure.
+func ask(client *fasthttp.Client, method, url string) int {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(url)
+	if err := client.Do(request, response); err != nil {
+		return 0
+	}
+	return response.StatusCode()
+}
+
+// startPath starts servers, a platform and an instance, and returns the
+// addresses of the servers and of the instance.
+func startPath(b *testing.B) (servers []fleet.Address, entry string) {
+	shape := synthetic.Shape{Instances: 1, Servers: benchServers, Slots: 8}
+	list := fleet.Listing{}
+	for n := range benchServers {
+		address := startServer(b)
+		servers = append(servers, address)
+		list.Servers = append(list.Servers, fleet.ListedServer{
+			ID: harness.ServerName(synthetic.ServiceName(1), n+1), Service: synthetic.ServiceName(1), Domain: "domain-1", Address: address,
+		})
+	}
+	clock := clockwork.NewRealClock()
+	held, err := platform.Start(platform.Options{Readers: "127.0.0.1:0", Operators: "127.0.0.1:0"}, clock)
+	require.NoError(b, err)
+	b.Cleanup(held.Close)
+	config, err := shape.Config(1)
+	require.NoError(b, err)
+	put(b, held, "/v1/config", config)
+	encoded, err := json.Marshal(list)
+	require.NoError(b, err)
+	put(b, held, "/v1/list", encoded)
+	return servers, startInstance(b, held)
+}
+
+func startServer(b *testing.B) fleet.Address {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	body := make([]byte, 512)
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set("Upstream-Load", "1")
+		ctx.SetBody(body)
+	}}
+	var serving conc.WaitGroup
+	serving.Go(func() { _ = server.Serve(listener) })
+	b.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	return fleet.Address(listener.Addr().String())
+}
+
+func put(b *testing.B, held *platform.Platform, path string, body []byte) {
+	request, err := http.NewRequest(http.MethodPut, "http://"+string(held.Operators())+path, bytes.NewReader(body))
+	require.NoError(b, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(b, err)
+	require.NoError(b, response.Body.Close())
+	require.Equal(b, 2, response.StatusCode/100)
+}
+
+// startInstance starts an instance and returns its address for callers.
+func startInstance(b *testing.B, held *platform.Platform) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	entry := listener.Addr().String()
+	require.NoError(b, listener.Close())
+	settings, err := setting.Load(setting.Source{Flags: map[string]string{
+		"id": "i1", "domain": "domain-1", "platform": "http://" + string(held.Readers()),
+		"listen-caller": entry, "listen-peer": "127.0.0.1:0", "listen-operator": "127.0.0.1:0",
+		"drain": "1ms",
+	}})
+	require.NoError(b, err)
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetLevel(logrus.ErrorLevel)
+	p, err := process.New(process.Options{Settings: settings, Clock: clockwork.NewRealClock(), Log: log, Release: "benchmark"})
+	require.NoError(b, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	running.Go(func() {
+		if err := p.Run(ctx); err != nil {
+			b.Error(err)
+		}
+	})
+	b.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return entry
+}
