--- a/io/process/bench_test.go
+++ b/io/process/bench_test.go
@@ -91,10 +91,20 @@
 	config, err := shape.Config(1)
 	require.NoError(b, err)
 	put(b, held, "/v1/config", config)
+	self := fleet.ListedInstance{ID: "i1", Domain: "domain-1", Caller: freeAddress(b), Peer: freeAddress(b)}
+	list.Instances = append(list.Instances, self)
 	encoded, err := json.Marshal(list)
 	require.NoError(b, err)
 	put(b, held, "/v1/list", encoded)
-	return servers, startInstance(b, held)
+	startInstance(b, held, self)
+	return servers, string(self.Caller)
+}
+
+func freeAddress(b *testing.B) fleet.Address {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	defer func() { require.NoError(b, listener.Close()) }()
+	return fleet.Address(listener.Addr().String())
 }
 
 func startServer(b *testing.B) fleet.Address {
@@ -123,15 +133,10 @@
 	require.Equal(b, 2, response.StatusCode/100)
 }
 
-// startInstance starts an instance and returns its address for callers.
-func startInstance(b *testing.B, held *platform.Platform) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	entry := listener.Addr().String()
-	require.NoError(b, listener.Close())
+func startInstance(b *testing.B, held *platform.Platform, self fleet.ListedInstance) {
 	settings, err := setting.Load(setting.Source{Flags: map[string]string{
-		"id": "i1", "domain": "domain-1", "platform": "http://" + string(held.Readers()),
-		"listen-caller": entry, "listen-peer": "127.0.0.1:0", "listen-operator": "127.0.0.1:0",
+		"id": string(self.ID), "domain": string(self.Domain), "platform": "http://" + string(held.Readers()),
+		"listen-caller": string(self.Caller), "listen-peer": string(self.Peer), "listen-operator": "127.0.0.1:0",
 		"drain": "1ms",
 	}})
 	require.NoError(b, err)
@@ -151,5 +156,4 @@
 		cancel()
 		running.Wait()
 	})
-	return entry
 }
