--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -12,6 +12,7 @@
 	"galenaridge/core/config"
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
+	"galenaridge/io/http1"
 )
 
 // Headers of the protocol for callers.
@@ -194,12 +195,7 @@
 // copyHeaders copies all headers but those of the protocol. The client to
 // servers removes the headers that concern one connection.
 func copyHeaders(header *fasthttp.RequestHeader) []exchange.Header {
-	var headers []exchange.Header
-	for name, value := range header.AllInOrder() {
-		if len(name) >= len(ownHeaders) && bytes.EqualFold(name[:len(ownHeaders)], []byte(ownHeaders)) {
-			continue
-		}
-		headers = append(headers, exchange.Header{Name: string(name), Value: string(value)})
-	}
-	return headers
+	return http1.CopyHeaders(header.AllInOrder(), func(name []byte) bool {
+		return len(name) < len(ownHeaders) || !bytes.EqualFold(name[:len(ownHeaders)], []byte(ownHeaders))
+	})
 }
--- a/io/caller/write.go
+++ b/io/caller/write.go
@@ -1,15 +1,16 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
+	"galenaridge/io/http1"
 )
 
 // statusClasses are the labels of answers of servers.
@@ -78,13 +79,14 @@
 // The front end frames the message itself; the length in an answer to HEAD
 // frames nothing.
 func passes(name string, head bool) bool {
-	switch lower := strings.ToLower(name); lower {
+	var buffer http1.LowerName
+	switch lower := http1.Lower(&buffer, name); string(lower) {
 	case "connection", "transfer-encoding", "trailer":
 		return false
 	case "content-length":
 		return head
 	default:
-		return !strings.HasPrefix(lower, ownHeaders)
+		return !bytes.HasPrefix(lower, []byte(ownHeaders))
 	}
 }
 
--- a/io/upstream/message.go
+++ b/io/upstream/message.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,7 +41,7 @@
 
 // ownPrefixes mark the headers of our protocols, in lower case. Neither a
 // caller nor a server may set one for the other.
-var ownPrefixes = []string{"upstream-", "galenaridge-"}
+var ownPrefixes = [][]byte{[]byte("upstream-"), []byte("galenaridge-")}
 
 // requestHeaders holds encoders for reuse.
 var requestHeaders = headerPool{}
@@ -62,19 +63,20 @@
 // forwarded reports whether a header passes from one side to the other.
 // Listed are the values of the Connection header, which names more headers
 // that concern one connection.
-func forwarded(name string, listed []string) bool {
-	lower := strings.ToLower(name)
-	if hopHeaders[lower] {
+func forwarded[T string | []byte](name T, listed []string) bool {
+	var buffer http1.LowerName
+	lower := http1.Lower(&buffer, name)
+	if hopHeaders[string(lower)] {
 		return false
 	}
 	for _, prefix := range ownPrefixes {
-		if strings.HasPrefix(lower, prefix) {
+		if bytes.HasPrefix(lower, prefix) {
 			return false
 		}
 	}
 	for _, value := range listed {
 		for option := range strings.SplitSeq(value, ",") {
-			if strings.EqualFold(strings.TrimSpace(option), name) {
+			if strings.EqualFold(strings.TrimSpace(option), string(name)) {
 				return false
 			}
 		}
@@ -151,15 +153,12 @@
 	for _, value := range decoded.Header.PeekAll(fasthttp.HeaderConnection) {
 		listed = append(listed, string(value))
 	}
-	for name, value := range decoded.Header.All() {
-		name := string(name)
+	response.Headers = http1.CopyHeaders(decoded.Header.All(), func(name []byte) bool {
 		// The length of the body that GET would return is part of the answer
 		// to HEAD.
-		length := decoded.SkipBody && strings.EqualFold(name, fasthttp.HeaderContentLength)
-		if length || forwarded(name, listed) {
-			response.Headers = append(response.Headers, exchange.Header{Name: name, Value: string(value)})
-		}
-	}
+		length := decoded.SkipBody && strings.EqualFold(string(name), fasthttp.HeaderContentLength)
+		return length || forwarded(name, listed)
+	})
 	return response
 }
 
