Keep the access to sockets and the keyed hashes of tokens

Each request asked the socket of its caller and of its server for access again, and each token made a new keyed hash. Allocations of a request through one instance (BenchmarkRequest): read 46 before, 44 after; protected 85 before, 73 after.

--- a/core/once/commands.go
+++ b/core/once/commands.go
@@ -23,7 +23,7 @@
 	}
 	return &Ledger{
 		options:   o,
-		authority: authority{home: o.Home, secret: secret},
+		authority: newAuthority(o.Home, secret),
 		table:     newTable(o.Start),
 	}, nil
 }
@@ -193,7 +193,7 @@
 	}
 	return origin{
 		table:     t,
-		authority: authority{home: batch.Home, secret: batch.Secret},
+		authority: newAuthority(batch.Home, batch.Secret),
 		until:     batch.Until,
 	}
 }
--- a/core/once/token.go
+++ b/core/once/token.go
@@ -6,6 +6,8 @@
 	"encoding/base64"
 	"encoding/binary"
 	"errors"
+	"hash"
+	"sync"
 	"time"
 
 	"galenaridge/core/fleet"
@@ -107,8 +109,29 @@
 type authority struct {
 	home   fleet.Member
 	secret []byte
+	macs   *macPool
 }
 
+// newAuthority returns the authority of a home; without a secret no token is
+// genuine.
+func newAuthority(home fleet.Member, secret []byte) authority {
+	return authority{home: home, secret: secret, macs: &macPool{}}
+}
+
+// macPool is a typed pool of keyed hashes. A new one hashes the secret twice
+// and makes eight allocations.
+type macPool struct{ pool sync.Pool }
+
+func (p *macPool) get(secret []byte) hash.Hash {
+	if h, ok := p.pool.Get().(hash.Hash); ok {
+		h.Reset()
+		return h
+	}
+	return hmac.New(sha256.New, secret)
+}
+
+func (p *macPool) put(h hash.Hash) { p.pool.Put(h) }
+
 // issue returns the token for claims about a's home, with a nonce of
 // nonceSize bytes. It fails with ErrMalformed if a name is too long.
 func (a authority) issue(claims Claims, nonce []byte) (Token, error) {
@@ -140,7 +163,8 @@
 }
 
 func (a authority) mac(payload []byte) []byte {
-	h := hmac.New(sha256.New, a.secret)
+	h := a.macs.get(a.secret)
+	defer a.macs.put(h)
 	_, _ = h.Write(payload)
 	return h.Sum(nil)[:macSize]
 }
--- a/io/caller/gate.go
+++ b/io/caller/gate.go
@@ -49,6 +49,9 @@
 	net.Conn
 	gate   *gate
 	closed atomic.Bool
+	// raw is the access to the socket, once it was asked for. Only the
+	// goroutine that serves the connection uses it.
+	raw syscall.RawConn
 	// spoke reports whether the caller has sent anything. Only the goroutine
 	// that serves the connection uses it.
 	spoke bool
@@ -73,9 +76,14 @@
 
 // SyscallConn gives access to the socket, for watch.
 func (c *gatedConn) SyscallConn() (syscall.RawConn, error) {
+	if c.raw != nil {
+		return c.raw, nil
+	}
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, eris.New("the connection has no socket")
 	}
-	return socket.SyscallConn()
+	raw, err := socket.SyscallConn()
+	c.raw = raw
+	return raw, err
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -24,6 +24,8 @@
 // conn is a connection to a server that carries one request at a time.
 type conn struct {
 	socket net.Conn
+	// raw gives access to the descriptor of the socket; nil if it has none.
+	raw    syscall.RawConn
 	reader *bufio.Reader
 	// readErr is the first error of the socket while reading. fasthttp wraps
 	// some errors so that errors.Is cannot find them.
@@ -34,6 +36,9 @@
 
 func newConn(socket net.Conn, header int) *conn {
 	c := &conn{socket: socket}
+	if described, ok := socket.(syscall.Conn); ok {
+		c.raw, _ = described.SyscallConn()
+	}
 	c.reader = bufio.NewReaderSize(c, header)
 	return c
 }
@@ -66,16 +71,11 @@
 	if err := c.socket.SetDeadline(time.Time{}); err != nil {
 		return false
 	}
-	socket, ok := c.socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+	if c.raw == nil {
 		return false
 	}
 	silent := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var peeked [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		silent = errors.Is(err, syscall.EAGAIN)
