io/peer: carry all fields of claims and bytes that are not UTF-8

Claim.Holds was not in the schema, so announcements of holders never reached other instances. Header values and targets that are not UTF-8 made gRPC fail to encode Execute, Submit and Handover. An outcome of a newer release was passed on as it is. A panic in a handler ended the process.

--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -106,6 +106,7 @@
 	return &peerpb.ClaimRequest{
 		From:      toRecord(c.From),
 		Resources: toStrings(c.Resources),
+		Holds:     toStrings(c.Holds),
 		Yielded:   toStrings(c.Yielded),
 	}
 }
@@ -114,6 +115,7 @@
 	return ownership.Claim{
 		From:      fromRecord(c.GetFrom()),
 		Resources: fromStrings[fleet.Resource](c.GetResources()),
+		Holds:     fromStrings[fleet.Resource](c.GetHolds()),
 		Yielded:   fromStrings[fleet.Resource](c.GetYielded()),
 	}
 }
@@ -210,8 +212,8 @@
 func toRequest(r exchange.Request) *peerpb.ExecuteRequest {
 	return &peerpb.ExecuteRequest{
 		Service:   string(r.Service),
-		Method:    r.Method,
-		Uri:       r.URI,
+		Method:    []byte(r.Method),
+		Uri:       []byte(r.URI),
 		Headers:   toHeaders(r.Headers),
 		Body:      r.Body,
 		Tenant:    string(r.Tenant),
@@ -224,8 +226,8 @@
 func fromRequest(r *peerpb.ExecuteRequest, deadline time.Time) exchange.Request {
 	return exchange.Request{
 		Service:   fleet.ServiceName(r.GetService()),
-		Method:    r.GetMethod(),
-		URI:       r.GetUri(),
+		Method:    string(r.GetMethod()),
+		URI:       string(r.GetUri()),
 		Headers:   fromHeaders(r.GetHeaders()),
 		Body:      r.GetBody(),
 		Tenant:    fleet.Tenant(r.GetTenant()),
@@ -239,7 +241,7 @@
 func toHeaders(headers []exchange.Header) []*peerpb.Header {
 	out := make([]*peerpb.Header, 0, len(headers))
 	for _, h := range headers {
-		out = append(out, &peerpb.Header{Name: h.Name, Value: h.Value})
+		out = append(out, &peerpb.Header{Name: []byte(h.Name), Value: []byte(h.Value)})
 	}
 	return out
 }
@@ -247,7 +249,7 @@
 func fromHeaders(headers []*peerpb.Header) []exchange.Header {
 	out := make([]exchange.Header, 0, len(headers))
 	for _, h := range headers {
-		out = append(out, exchange.Header{Name: h.GetName(), Value: h.GetValue()})
+		out = append(out, exchange.Header{Name: string(h.GetName()), Value: string(h.GetValue())})
 	}
 	return out
 }
@@ -269,9 +271,17 @@
 	}
 }
 
+// fromOutcome takes a number that this release does not know as unknown.
+func fromOutcome(number uint32) fleet.Outcome {
+	if number > uint32(fleet.NotRun) {
+		return fleet.Unknown
+	}
+	return fleet.Outcome(number)
+}
+
 func fromResponse(r *peerpb.ExecuteReply) exchange.Response {
 	return exchange.Response{
-		Outcome: fleet.Outcome(r.GetOutcome()),
+		Outcome: fromOutcome(r.GetOutcome()),
 		Code:    exchange.Code(r.GetCode()),
 		Message: r.GetMessage(),
 		Status:  int(r.GetStatus()),
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"google.golang.org/grpc"
@@ -50,6 +51,12 @@
 	Traffic Traffic
 	Prober  Prober
 	Clock   fleet.Clock
+	Faults  Faults
+}
+
+// Faults learns of panics in handlers. It may be called concurrently.
+type Faults interface {
+	Panicked(method string, value any, stack []byte)
 }
 
 // Server answers other instances.
@@ -63,12 +70,30 @@
 func NewServer(options ServerOptions) *Server {
 	s := &Server{
 		options: options,
-		grpc:    grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage)),
+		grpc: grpc.NewServer(
+			grpc.MaxRecvMsgSize(maxMessage),
+			grpc.MaxSendMsgSize(maxMessage),
+			grpc.UnaryInterceptor(recoverPanics(options.Faults)),
+		),
 	}
 	peerpb.RegisterPeerServer(s.grpc, s)
 	return s
 }
 
+// recoverPanics answers a call whose handler panics with an error, so that one
+// message does not end the process and everything that it has in flight.
+func recoverPanics(faults Faults) grpc.UnaryServerInterceptor {
+	return func(ctx context.Context, in any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (reply any, err error) {
+		defer func() {
+			if value := recover(); value != nil {
+				faults.Panicked(info.FullMethod, value, debug.Stack())
+				err = status.Error(codes.Internal, "the handler panicked")
+			}
+		}()
+		return handler(ctx, in)
+	}
+}
+
 // Serve answers on the listener until Stop.
 func (s *Server) Serve(listener net.Listener) error { return s.grpc.Serve(listener) }
 
--- a/io/process/adapters.go
+++ b/io/process/adapters.go
@@ -171,6 +171,15 @@
 	_ = s.process.control.OfferListing(ctx, listing)
 }
 
+// faults logs panics in handlers of messages.
+type faults struct{ log *logrus.Logger }
+
+// Panicked implements peer.Faults.
+func (f faults) Panicked(method string, value any, stack []byte) {
+	f.log.WithFields(logrus.Fields{"method": method, "panic": value, "stack": string(stack)}).
+		Error("handler of a message panicked")
+}
+
 // events logs what happens in the control state.
 type events struct {
 	process *Process
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -135,6 +135,7 @@
 		Traffic: engine,
 		Prober:  prober,
 		Clock:   p.options.Clock,
+		Faults:  faults{log: p.options.Log},
 	})
 	front := frontEnd{control: p.control, engine: engine}
 	p.callers = caller.New(caller.Options{
