--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -200,8 +201,16 @@
 	return request, token, nil
 }
 
-// serve calls the handler with a context that ends if the caller goes away.
-func (s *Server) serve(ctx *fasthttp.RequestCtx, request exchange.Request, token string) Result {
+// serve calls the handler with a context that ends if the caller goes away. A
+// panic of the handler leaves the outcome of this request unknown, and must
+// not end the process with all other requests in flight.
+func (s *Server) serve(ctx *fasthttp.RequestCtx, request exchange.Request, token string) (result Result) {
+	defer func() {
+		if value := recover(); value != nil {
+			s.options.Log.WithField("stack", string(debug.Stack())).Errorf("handler of a request panicked: %v", value)
+			result = Result{Response: *refuse(exchange.UpstreamLost, "the request ended abnormally")}
+		}
+	}()
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stop := watch(ctx.Conn(), cancel)
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -346,3 +346,14 @@
 	require.NotContains(t, text.String(), "stranger")
 	require.Contains(t, text.String(), `galenaridge_requests_total{outcome="not-run",code="other"} 64`)
 }
+
+// TestPanic guards against a handler that panics and ends the process with all
+// other requests in flight, or that leaves its caller without an outcome.
+func TestPanic(t *testing.T) {
+	_, address := start(t, func(context.Context, exchange.Request, string) Result { panic("handler fault") }, nil)
+	c := dial(t, address)
+	c.send("GET /s/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	got := c.receive(t, http.MethodGet)
+	require.Equal(t, http.StatusGatewayTimeout, got.status)
+	require.Equal(t, "unknown", got.header.Get(headerOutcome))
+}
