--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -388,7 +388,7 @@
 func TestPanic(t *testing.T) {
 	_, address := start(t, func(context.Context, exchange.Request, string) Result { panic("handler fault") }, nil)
 	c := dial(t, address)
-	c.send("GET /s/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.send("GET /svc/ HTTP/1.1\r\nHost: h\r\n\r\n")
 	got := c.receive(t, http.MethodGet)
 	require.Equal(t, http.StatusGatewayTimeout, got.status)
 	require.Equal(t, "unknown", got.header.Get(headerOutcome))
