--- a/core/health/latency.go
+++ b/core/health/latency.go
@@ -8,7 +8,7 @@
 
 const (
 	// latencyBuckets spans 0.25 ms to 11 s in steps of the square root of two,
-	// fine enough to tell a factor of three between two medians.
+	// fine enough to tell a factor of two between two medians.
 	latencyBuckets = 32
 	// latencyUnit is the upper bound of the first bucket.
 	latencyUnit = 250 * time.Microsecond
--- a/core/health/thresholds.go
+++ b/core/health/thresholds.go
@@ -33,7 +33,7 @@
 	lastBackoff  = 5 * time.Second
 	// slowLapse is how long a slow server may look normal without starting the
 	// time over; medians of few latencies vary.
-	slowLapse = 300 * time.Millisecond
+	slowLapse = 500 * time.Millisecond
 	// learnTime is the time after which learned latencies lose half of their
 	// weight.
 	learnTime = time.Minute
@@ -109,7 +109,7 @@
 		return thresholds{
 			stallFloor: 600 * time.Millisecond, stallFactor: 1.5, stallUnlearned: 0.15, stallSingle: 1,
 			shareLimit: 0.4, shareAttempts: 10, allFailed: 3,
-			slowRatio: 2.5, slowMargin: 10 * time.Millisecond, slowAttempts: 8, slowSpread: 5, slowAlone: true,
+			slowRatio: 2.2, slowMargin: 10 * time.Millisecond, slowAttempts: 8, slowSpread: 5, slowAlone: true,
 			warmup: 4 * time.Second, refusals: 2,
 			ejection: 2 * time.Second, ejectionCap: time.Minute, successes: 3, clear: time.Second,
 		}
@@ -117,7 +117,7 @@
 	return thresholds{
 		stallFloor: 1500 * time.Millisecond, stallFactor: 3, stallUnlearned: 0.35, stallSingle: 1.3,
 		shareLimit: 0.44, shareAttempts: 16, allFailed: 4,
-		slowRatio: 2.5, slowMargin: 30 * time.Millisecond, slowAttempts: 16, slowSpread: 8, slowHold: 900 * time.Millisecond,
+		slowRatio: 2.2, slowMargin: 30 * time.Millisecond, slowAttempts: 16, slowSpread: 8, slowHold: 900 * time.Millisecond,
 		warmup: 4 * time.Second, refusals: 3,
 		ejection: 4 * time.Second, ejectionCap: 2 * time.Minute, successes: 5, clear: 2 * time.Second,
 	}
