--- a/core/health/commands.go
+++ b/core/health/commands.go
@@ -53,6 +53,12 @@
 	}
 }
 
+// Configure takes changed options from the configuration; conditions stay.
+func (s *State) Configure(options Options) {
+	s.options = options
+	s.thresholds = thresholdsOf(options.Detect)
+}
+
 // Observe takes one reading for each owned server; servers without a reading
 // are forgotten. Taking counts the servers of the service that take work, as
 // far as known; the last one is never ejected. It is called about every 50 ms.
