--- a/core/floor/floor_test.go
+++ b/core/floor/floor_test.go
@@ -105,6 +105,33 @@
 	}
 }
 
+// TestMedian guards the baseline of the service against a single owner's
+// latencies and against reports whose life has passed.
+func TestMedian(t *testing.T) {
+	tests := []struct {
+		name    string
+		medians []time.Duration
+		at      float64
+		want    time.Duration
+	}{
+		{"middle one", []time.Duration{30, 900, 35}, 1, 35},
+		{"unknown ones do not count", []time.Duration{0, 40, 0}, 1, 40},
+		{"old ones do not count", []time.Duration{30, 35}, 4, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewSteward(1)
+			s.Become(start)
+			s.Extend(at(100))
+			for i, median := range test.medians {
+				s.Receive(at(0.5), Report{From: fleet.Member{Incarnation: fleet.Incarnation(i)}, Sequence: 1, Median: median})
+			}
+			reply := s.Receive(at(test.at), Report{From: fleet.Member{ID: "z"}, Sequence: 1})
+			require.Equal(t, test.want, reply.Median)
+		})
+	}
+}
+
 // TestHolder guards against the use of a permit that the steward has given to
 // another owner.
 func TestHolder(t *testing.T) {
--- a/core/health/doc.go
+++ b/core/health/doc.go
@@ -28,7 +28,9 @@
 // process delayed are no evidence. A successful probe clears no server that
 // stalled, failed or was slow. Observe does not depend on wall clocks.
 //
-// Not promised: a server without requests is not judged. Careful detection
+// Not promised: a server without requests is not judged. While ticks are more
+// than 250 ms apart, which looks like a pause of this process, only refused
+// connections are evidence. Careful detection
 // does not judge latency without other servers to compare with. A server that
 // restarts unnoticed and answers slowly for longer than the detection holds
 // back looks slow. A service whose requests take longer than its stall
