core/traffic: keep what earlier attempts did when a later one is refused

An idempotent request that a server may have got was answered not-run when a later server or owner refused it; a server's own error was lost the same way. The view is now read again after the wait for a slot, so that a lost server gets no work and a removed service no nil dereference. A request earns one token of the retry budget however many owners are not reached, attempts made by this instance count for the limit, and a panic leaves no slot timed.

TestLocal, TestOwners, TestBudget and TestChanges failed before.

--- /dev/null
+++ b/core/traffic/engine_test.go
@@ -0,0 +1,394 @@
+package traffic_test
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	randv2 "math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"galenaridge/core/admission"
+	"galenaridge/core/config"
+	"galenaridge/core/control"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/health"
+	"galenaridge/core/member"
+	"galenaridge/core/once"
+	"galenaridge/core/ownership"
+	"galenaridge/core/retry"
+	"galenaridge/core/traffic"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const svc fleet.ServiceName = "svc"
+
+// incarnations seeds the incarnation of each engine, so that none is another's
+// home.
+var incarnations atomic.Uint64
+
+// fake stands for the control state, the servers and the other instances.
+type fake struct {
+	mu      sync.Mutex
+	clock   *clockwork.FakeClock
+	view    *control.View
+	send    func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence)
+	execute func(to member.Peer) (exchange.Response, bool)
+	submit  func(to member.Peer) (exchange.Response, bool)
+	sent    []fleet.ServerID
+	asked   []fleet.InstanceID
+	drained []fleet.ServerID
+	engine  *traffic.Engine
+}
+
+func (f *fake) View() *control.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *fake) set(view *control.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view = view
+}
+
+func (f *fake) ServerDraining(_ fleet.ServiceName, server fleet.ServerID) {
+	f.drained = append(f.drained, server)
+}
+
+func (f *fake) Send(_ context.Context, attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	f.mu.Lock()
+	f.sent = append(f.sent, attempt.Server.ID)
+	f.mu.Unlock()
+	return f.send(attempt)
+}
+
+func (f *fake) Execute(_ context.Context, to member.Peer, _ exchange.Request) (exchange.Response, bool) {
+	f.mu.Lock()
+	f.asked = append(f.asked, to.Member.ID)
+	f.mu.Unlock()
+	return f.execute(to)
+}
+
+func (f *fake) Submit(_ context.Context, to member.Peer, _ once.Token, _ exchange.Request) (exchange.Response, bool) {
+	return f.submit(to)
+}
+
+func (f *fake) Mint(context.Context, member.Peer, fleet.ServiceName) (once.Token, error) {
+	return "", errors.New("not reached")
+}
+
+// first always draws zero.
+type first struct{}
+
+func (first) IntN(int) int   { return 0 }
+func (first) Uint64() uint64 { return 7 }
+
+// start returns an engine of an instance that owns the servers and knows the
+// other instances as owners.
+func start(t *testing.T, servers []fleet.ServerID, others ...fleet.InstanceID) *fake {
+	t.Helper()
+	f := &fake{clock: clockwork.NewFakeClockAt(time.Now())}
+	f.view = f.newView(t, servers, others)
+	f.send = succeed
+	engine, err := traffic.New(traffic.Options{
+		Control: f, Drains: f, Sender: f, Peers: f, Clock: f.clock, Random: first{}, Secrets: rand.Reader,
+		Records: traffic.Records{Count: 100, Body: 1 << 10, Memory: 1 << 20},
+	}, f.view.Members.Self().Member)
+	require.NoError(t, err)
+	f.engine = engine
+	return f
+}
+
+// newView builds the view of a single instance with a lease that holds all
+// servers.
+func (f *fake) newView(t *testing.T, servers []fleet.ServerID, others []fleet.InstanceID) *control.View {
+	t.Helper()
+	document := config.Document{
+		Version: 1, Deployment: "d", Domains: []fleet.Domain{"d"},
+		Services: []config.Service{{
+			Name: svc, Slots: 2, Conns: 10, Floor: 1, Deadline: 2 * time.Second,
+			Routes: []config.Route{{Method: "GET", Path: "/protected", Protected: true}},
+		}},
+		Limits: config.Limits{Body: 1 << 20, Header: 16 << 10, Assignment: 5 * time.Second, Token: 10 * time.Minute},
+	}
+	document.Digest = config.DigestOf(document)
+	state := config.NewState()
+	require.Equal(t, config.Adopted, state.Offer(document).Verdict)
+	members := member.New(f.clock.Now(), member.Options{
+		ID: "self", Domain: "d", Peer: "127.0.0.1:1", Caller: "127.0.0.1:2", Random: randv2.New(randv2.NewPCG(incarnations.Add(1), 2)),
+	})
+	members.SetListing(f.clock.Now(), fleet.Listing{
+		Revision: 1, Instances: []fleet.ListedInstance{{ID: "self", Domain: "d", Peer: "127.0.0.1:1"}},
+	})
+	owners := ownership.New(ownership.Options{})
+	var wanted []ownership.Wanted
+	for _, id := range servers {
+		wanted = append(wanted, ownership.Wanted{Resource: fleet.ServerResource(id), Domain: "d", LargestDeadline: 2 * time.Second})
+	}
+	owners.SetWanted(f.clock.Now(), wanted)
+	for range 40 {
+		f.clock.Advance(50 * time.Millisecond)
+		members.Tick(f.clock.Now())
+		owners.SetMembers(f.clock.Now(), members.View())
+		owners.Tick(f.clock.Now(), members.View().LeaseValid(f.clock.Now()))
+	}
+	service := &control.Service{
+		Config: document.Services[0], Pool: admission.New(f.clock, admission.Options{}),
+		Budget: retry.NewBudget(retry.Options{}), Servers: map[fleet.ServerID]*control.Server{},
+	}
+	var slots []admission.ServerSlots
+	for _, id := range servers {
+		service.Servers[id] = &control.Server{
+			Listed: fleet.ListedServer{ID: id, Service: svc}, Counters: health.NewCounters(f.clock.Now()),
+		}
+		slots = append(slots, admission.ServerSlots{Server: id, Slots: 2, Use: admission.Normal})
+	}
+	service.Pool.SetServers(slots)
+	for _, id := range others {
+		service.Owners = append(service.Owners, control.Owner{Member: fleet.Member{ID: id, Incarnation: 1}, Domain: "d"})
+	}
+	return &control.View{
+		Members: members.View(), Owners: owners.View(), Config: state.View(),
+		Services: map[fleet.ServiceName]*control.Service{svc: service},
+	}
+}
+
+// without returns the view with the service changed or, with nil, removed.
+func without(view *control.View, service *control.Service) *control.View {
+	changed := *view
+	changed.Services = map[fleet.ServiceName]*control.Service{}
+	if service != nil {
+		changed.Services[svc] = service
+	}
+	return &changed
+}
+
+func (f *fake) request(method string) exchange.Request {
+	return exchange.Request{Service: svc, Method: method, URI: "/x", Deadline: f.clock.Now().Add(2 * time.Second)}
+}
+
+func (f *fake) serve(method string) exchange.Response {
+	return f.engine.Serve(context.Background(), f.request(method), "").Response
+}
+
+// Attempts on a server.
+
+func succeed(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	if !attempt.MayWrite() {
+		return denied(attempt)
+	}
+	return exchange.Response{Outcome: fleet.Done, Status: 200}, traffic.Evidence{Written: true, Complete: true}
+}
+
+func fail(traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	return exchange.Response{Outcome: fleet.Done, Status: 500}, traffic.Evidence{Written: true, Complete: true}
+}
+
+func lost(traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	return exchange.Refuse(exchange.UpstreamLost, ""), traffic.Evidence{Written: true}
+}
+
+func refused(traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	return exchange.Refuse(exchange.NoCapacity, ""), traffic.Evidence{Refused: true}
+}
+
+func denied(traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	return exchange.Refuse(exchange.NotReady, ""), traffic.Evidence{}
+}
+
+type sends []func(traffic.Attempt) (exchange.Response, traffic.Evidence)
+
+// TestLocal guards against a protected request that is sent again although it
+// may have been written, and against "not run" after an attempt was written.
+func TestLocal(t *testing.T) {
+	tests := []struct {
+		name    string
+		method  string
+		sends   sends
+		outcome fleet.Outcome
+		status  int
+		sent    int
+	}{
+		{"protected succeeds", "POST", sends{succeed}, fleet.Done, 200, 1},
+		{"protected gets a server error", "POST", sends{fail}, fleet.Done, 500, 1},
+		{"protected is lost", "POST", sends{lost, succeed}, fleet.Unknown, 504, 1},
+		{"protected is refused by the first server", "POST", sends{refused, succeed}, fleet.Done, 200, 2},
+		{"protected is denied by the right to write", "POST", sends{denied, succeed}, fleet.Done, 200, 2},
+		{"protected is refused by all servers", "POST", sends{refused, refused, refused}, fleet.NotRun, 503, 3},
+		{"protected is lost on the second server", "POST", sends{refused, lost, succeed}, fleet.Unknown, 504, 2},
+		{"idempotent is lost and tried again", "GET", sends{lost, succeed}, fleet.Done, 200, 2},
+		{"idempotent is lost and then refused", "GET", sends{lost, refused, refused}, fleet.Unknown, 504, 3},
+		{"idempotent fails and is then denied", "GET", sends{fail, denied, denied}, fleet.Done, 500, 3},
+		{"idempotent fails everywhere", "GET", sends{fail, fail, fail}, fleet.Done, 500, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, []fleet.ServerID{"1", "2", "3"})
+			f.send = func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+				return tt.sends[len(f.sent)-1](attempt)
+			}
+			got := f.serve(tt.method)
+			assert.Equal(t, tt.outcome, got.Outcome)
+			assert.Equal(t, tt.status, got.Status)
+			assert.Len(t, f.sent, tt.sent)
+			assert.Zero(t, f.view.Services[svc].Pool.Load().Busy, "slots are given back")
+		})
+	}
+}
+
+// remote is the reply of another owner.
+type remote struct {
+	response  exchange.Response
+	delivered bool
+}
+
+// TestOwners guards against a second owner that starts a protected request
+// which the first may have started, and against "not run" from a later owner
+// that hides an attempt of an earlier one.
+func TestOwners(t *testing.T) {
+	done := remote{exchange.Response{Outcome: fleet.Done, Status: 200}, true}
+	failed := remote{exchange.Response{Outcome: fleet.Done, Status: 500}, true}
+	notRun := remote{exchange.Refuse(exchange.Overloaded, ""), true}
+	noReply := remote{exchange.Refuse(exchange.UpstreamLost, ""), true}
+	invalid := remote{exchange.Refuse(exchange.BadRequest, ""), true}
+	unreached := remote{}
+	tests := []struct {
+		name    string
+		method  string
+		replies []remote
+		outcome fleet.Outcome
+		status  int
+		asked   int
+	}{
+		{"protected runs at the first owner", "POST", []remote{done, done, done}, fleet.Done, 200, 1},
+		{"not run at the first owner leads to the next", "POST", []remote{notRun, done, done}, fleet.Done, 200, 2},
+		{"an unreached owner leads to the next", "POST", []remote{unreached, done, done}, fleet.Done, 200, 2},
+		{"a lost reply is final", "POST", []remote{noReply, done, done}, fleet.Unknown, 504, 1},
+		{"a lost reply after not run is final", "POST", []remote{notRun, noReply, done}, fleet.Unknown, 504, 2},
+		{"not run everywhere", "POST", []remote{notRun, notRun, notRun}, fleet.NotRun, 503, 3},
+		{"a request that cannot be sent is not tried again", "POST", []remote{invalid, done, done}, fleet.NotRun, 400, 1},
+		{"idempotent with a lost reply is tried again", "GET", []remote{noReply, done, done}, fleet.Done, 200, 2},
+		{"not run does not hide a lost reply", "GET", []remote{noReply, notRun, unreached}, fleet.Unknown, 504, 3},
+		{"not run does not hide a server error", "GET", []remote{failed, notRun, notRun}, fleet.Done, 500, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, nil, "a", "b", "c")
+			f.execute = func(member.Peer) (exchange.Response, bool) {
+				reply := tt.replies[len(f.asked)-1]
+				return reply.response, reply.delivered
+			}
+			got := f.serve(tt.method)
+			assert.Equal(t, tt.outcome, got.Outcome)
+			assert.Equal(t, tt.status, got.Status)
+			assert.Len(t, f.asked, tt.asked)
+		})
+	}
+}
+
+// TestBudget guards against more retries than a tenth of the requests, and
+// against requests that earn more than once because owners are not reached.
+func TestBudget(t *testing.T) {
+	f := start(t, nil, "a", "b", "c")
+	f.execute = func(member.Peer) (exchange.Response, bool) { return exchange.Response{}, false }
+	budget := f.view.Services[svc].Budget
+	for budget.Spend() {
+		continue
+	}
+	for range 9 {
+		f.serve("GET")
+		f.clock.Advance(2 * time.Second)
+	}
+	assert.Zero(t, budget.Tokens())
+	f.serve("GET")
+	assert.Equal(t, 1, budget.Tokens())
+}
+
+// TestChanges guards against a panic and against use of a server when the
+// service or the server is lost while a request waits for its slot.
+func TestChanges(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *fake) *control.View
+	}{
+		{"service removed", func(f *fake) *control.View { return without(f.view, nil) }},
+		{"server lost", func(f *fake) *control.View {
+			changed := *f.view.Services[svc]
+			changed.Servers = map[fleet.ServerID]*control.Server{}
+			return without(f.view, &changed)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, []fleet.ServerID{"1"})
+			pool := f.view.Services[svc].Pool
+			var grants []*admission.Grant
+			for range 2 {
+				grant, err := pool.Acquire(context.Background(), admission.Ask{Weight: 1})
+				require.NoError(t, err)
+				grants = append(grants, grant)
+			}
+			answer := make(chan exchange.Response, 1)
+			go func() { answer <- f.engine.Execute(context.Background(), f.request("POST")) }()
+			require.Eventually(t, func() bool { return pool.Load().Queued == 1 }, 5*time.Second, time.Millisecond)
+			f.set(tt.change(f))
+			for _, grant := range grants {
+				grant.Release()
+			}
+			got := <-answer
+			assert.Equal(t, exchange.NoCapacity, got.Code)
+			assert.Equal(t, fleet.NotRun, got.Outcome)
+			assert.Empty(t, f.sent)
+			assert.Zero(t, pool.Load().Busy)
+		})
+	}
+}
+
+// TestLease guards against work for servers after the lease has lapsed.
+func TestLease(t *testing.T) {
+	f := start(t, []fleet.ServerID{"1"})
+	f.clock.Advance(3 * time.Second)
+	assert.Equal(t, exchange.NoCapacity, f.engine.Execute(context.Background(), f.request("GET")).Code)
+	assert.Empty(t, f.sent)
+}
+
+// TestLapse guards against a write after the lease lapsed between the grant
+// and the write, and against a deadline beyond the lease and the largest
+// deadline of the service.
+func TestLapse(t *testing.T) {
+	f := start(t, []fleet.ServerID{"1"})
+	f.send = func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+		latest := f.view.Members.LeaseUntil().Add(2 * time.Second)
+		assert.False(t, attempt.Deadline.After(latest))
+		f.clock.Advance(3 * time.Second)
+		assert.False(t, attempt.MayWrite())
+		return denied(attempt)
+	}
+	request := f.request("GET")
+	request.Deadline = f.clock.Now().Add(time.Minute)
+	assert.Equal(t, fleet.NotRun, f.engine.Execute(context.Background(), request).Outcome)
+}
+
+// TestDraining guards against the announcement of a leaving server that is
+// not passed on.
+func TestDraining(t *testing.T) {
+	f := start(t, []fleet.ServerID{"1"})
+	f.send = func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+		response, evidence := succeed(attempt)
+		evidence.Draining = true
+		return response, evidence
+	}
+	f.serve("GET")
+	assert.Equal(t, []fleet.ServerID{"1"}, f.drained)
+}
--- a/core/traffic/local.go
+++ b/core/traffic/local.go
@@ -9,34 +9,31 @@
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
 	"galenaridge/core/health"
-	"galenaridge/core/retry"
 )
 
 // runLocal carries out a request on the servers that this instance owns.
 func (e *Engine) runLocal(ctx context.Context, request exchange.Request) trial {
 	var exclude []fleet.ServerID
-	result := trial{response: exchange.Refuse(exchange.NoCapacity, "this instance owns no server of the service")}
-	for made := 1; ; made++ {
+	all := trial{response: exchange.Refuse(exchange.NoCapacity, "this instance owns no server of the service")}
+	for {
 		view := e.options.Control.View()
 		service := view.Services[request.Service]
 		if service == nil {
-			return trial{response: exchange.Refuse(exchange.NoService, "service is not configured")}
+			return all.then(trial{response: exchange.Refuse(exchange.NoService, "service is not configured")})
 		}
 		if len(service.Servers) == 0 || !view.Lease(e.options.Clock.Now()) {
-			return result
+			return all
 		}
 		grant, err := service.Pool.Acquire(ctx, e.ask(view, request, exclude))
 		if err != nil {
-			if !result.reached {
-				result.response = refuseAdmission(err)
-			}
-			return result
-		}
-		result = e.attempt(ctx, service, grant, request, result)
-		if !e.againHere(service, request, result, made) {
-			return result
+			return all.then(trial{response: refuseAdmission(err)})
 		}
 		exclude = append(exclude, grant.Server)
+		t := e.attempt(ctx, grant, request)
+		all = all.then(t)
+		if !e.againHere(service, request, t, len(exclude)) {
+			return all
+		}
 	}
 }
 
@@ -54,31 +51,22 @@
 
 // againHere decides whether another server of this instance should be tried.
 func (e *Engine) againHere(service *control.Service, request exchange.Request, t trial, made int) bool {
-	if len(service.Servers) <= made {
-		return false
-	}
-	decision := retry.Decide(retry.Attempt{
-		Answered:   answered(request, t.response),
-		Idempotent: !request.Protected,
-		Written:    t.written,
-		Made:       made,
-		Left:       request.Deadline.Sub(e.options.Clock.Now()),
-		Expected:   service.Health.Median(),
-	})
-	return decision == retry.Again && service.Budget.Spend()
+	left := request.Deadline.Sub(e.options.Clock.Now())
+	return made < len(service.Servers) && e.retry(service, request, t, made, left)
 }
 
 // attempt sends the request to the server of the grant and gives the slot back.
-func (e *Engine) attempt(ctx context.Context, service *control.Service, grant *admission.Grant, request exchange.Request, before trial) trial {
+func (e *Engine) attempt(ctx context.Context, grant *admission.Grant, request exchange.Request) trial {
 	defer grant.Release()
-	server, owned := service.Servers[grant.Server]
-	if !owned {
-		// The pool was changed after the view was read.
-		if server = e.options.Control.View().Services[request.Service].Servers[grant.Server]; server == nil {
-			return trial{response: exchange.Refuse(exchange.NoCapacity, "the server has another owner now"), written: before.written}
-		}
+	// The view is read again, since the wait for the slot may have been long.
+	service := e.options.Control.View().Services[request.Service]
+	if service == nil || service.Servers[grant.Server] == nil {
+		return trial{response: exchange.Refuse(exchange.NoCapacity, "the server has another owner now")}
 	}
+	server := service.Servers[grant.Server]
+	result := health.Canceled
 	server.Counters.Start(grant.Slot, e.options.Clock.Now())
+	defer func() { server.Counters.Finish(grant.Slot, e.options.Clock.Now(), result) }()
 	response, evidence := e.options.Sender.Send(ctx, Attempt{
 		Server:   server.Listed,
 		Slot:     grant.Slot,
@@ -86,15 +74,15 @@
 		MayWrite: func() bool { return e.mayWrite(server.Listed.ID) },
 		Deadline: e.serverDeadline(request, service.Config.Deadline),
 	})
-	server.Counters.Finish(grant.Slot, e.options.Clock.Now(), resultOf(response, evidence))
+	result = resultOf(response, evidence)
 	if evidence.Draining && server.Listed.Presence != fleet.Leaving {
 		e.options.Drains.ServerDraining(request.Service, server.Listed.ID)
 	}
-	return trial{
-		response: response,
-		reached:  evidence.Written || evidence.Refused,
-		written:  before.written || evidence.Written,
+	t := trial{response: response, written: evidence.Written}
+	if evidence.Written || evidence.Refused {
+		t.made = 1
 	}
+	return t
 }
 
 // mayWrite is the right to send, checked on the monotonic clock right before
--- a/core/traffic/run.go
+++ b/core/traffic/run.go
@@ -11,53 +11,69 @@
 	"galenaridge/core/retry"
 )
 
-// trial is what one owner made of a request.
+// trial is what is known after one or more attempts.
 type trial struct {
 	response exchange.Response
-	// reached reports that an attempt was made on a server.
-	reached bool
+	// made counts the attempts on servers.
+	made int
 	// written reports that a server may have got the request.
 	written bool
 }
 
+// then returns what is known after a further trial. Once a server may have got
+// the request, the refusal of a later trial must not say that it was not run.
+func (t trial) then(next trial) trial {
+	response := next.response
+	if t.written && response.Outcome == fleet.NotRun {
+		response = t.response
+	}
+	return trial{
+		response: response,
+		made:     t.made + next.made,
+		written:  t.written || next.written,
+	}
+}
+
 // run tries owners of the service until one answers, as far as retries are
 // allowed. The context ends at the deadline of the request.
 func (e *Engine) run(ctx context.Context, request exchange.Request) exchange.Response {
 	var tried []fleet.InstanceID
-	last := exchange.Refuse(exchange.NoCapacity, "no owner of the service can be reached")
-	made := 0
-	for range maxTargets {
+	all := trial{response: exchange.Refuse(exchange.NoCapacity, "no owner of the service can be reached")}
+	for i := range maxTargets {
 		view := e.options.Control.View()
 		service := view.Services[request.Service]
 		if service == nil {
-			return exchange.Refuse(exchange.NoService, "service is not configured")
+			return all.then(trial{response: exchange.Refuse(exchange.NoService, "service is not configured")}).response
 		}
-		if made == 0 {
+		if i == 0 {
 			service.Budget.Earn()
 		}
 		target, found := e.choose(view, service, tried)
 		if !found {
-			return last
+			return all.response
 		}
 		tried = append(tried, target.Member.ID)
 		t := e.try(ctx, view, target, request)
-		last = t.response
-		if t.reached {
-			made++
-		}
-		if !e.again(service, request, t, made) {
-			return last
+		all = all.then(t)
+		if ctx.Err() != nil || !e.again(service, request, t, all.made) {
+			return all.response
 		}
 	}
-	return last
+	return all.response
 }
 
-// again decides whether another owner should be tried.
+// again decides whether another owner should be tried. An owner that made no
+// attempt costs no token of the budget.
 func (e *Engine) again(service *control.Service, request exchange.Request, t trial, made int) bool {
 	left := request.Deadline.Sub(e.options.Clock.Now())
-	if !t.reached {
-		return !t.written && left > 0
+	if t.made == 0 {
+		return left > 0 && t.response.Code != exchange.BadRequest
 	}
+	return e.retry(service, request, t, made, left)
+}
+
+// retry decides about another attempt after one on a server.
+func (e *Engine) retry(service *control.Service, request exchange.Request, t trial, made int, left time.Duration) bool {
 	decision := retry.Decide(retry.Attempt{
 		Answered:   answered(request, t.response),
 		Idempotent: !request.Protected,
@@ -162,20 +178,25 @@
 	if target.Member == view.Members.Self().Member {
 		return e.runLocal(ctx, request)
 	}
-	now := e.options.Clock.Now()
 	request.Hops++
 	to := member.Peer{Member: target.Member, Address: target.Peer}
 	response, delivered := e.options.Peers.Execute(ctx, to, request)
+	now := e.options.Clock.Now()
 	if !delivered {
-		e.loads.avoid(request.Service, target.Member.ID, now.Add(avoidFor))
+		if ctx.Err() == nil {
+			e.loads.avoid(request.Service, target.Member.ID, now.Add(avoidFor))
+		}
 		return trial{response: exchange.Refuse(exchange.NoCapacity, "the owner cannot be reached")}
 	}
-	e.loads.report(request.Service, target.Member.ID, response.Load, e.options.Clock.Now())
-	return trial{
-		response: response,
-		reached:  response.Outcome != fleet.NotRun,
-		written:  response.Outcome != fleet.NotRun,
+	if response.Outcome == fleet.NotRun {
+		e.loads.report(request.Service, target.Member.ID, response.Load, now)
+		return trial{response: response}
+	}
+	if response.Load.Slots > 0 {
+		// A reply that was lost carries no load.
+		e.loads.report(request.Service, target.Member.ID, response.Load, now)
 	}
+	return trial{response: response, made: 1, written: true}
 }
 
 // Execute carries out a request of another instance on the servers that this
