core/traffic: count submitted requests in flight and bound inherited state

A planned stop did not wait for requests that other instances submitted to their home. The home trusted the sender's view of whether a request is protected. Inherited records were bounded by number and not by bytes, and the loads of replaced instances were kept for ever.

--- a/core/traffic/engine.go
+++ b/core/traffic/engine.go
@@ -68,7 +68,11 @@
 // Import takes records that another instance hands over. It reports false if
 // this instance answers for too many records already.
 func (e *Engine) Import(handover once.Handover) bool {
-	if e.imported()+len(handover.Records) > e.options.Records.Count {
+	count, memory := e.imported()
+	for _, record := range handover.Records {
+		memory += int64(len(record.Response.Body))
+	}
+	if count+len(handover.Records) > e.options.Records.Count || memory > e.options.Records.Memory {
 		return false
 	}
 	found, _ := e.archives.LoadOrStore(handover.Home, once.NewArchive(handover.Home))
@@ -76,9 +80,11 @@
 	return true
 }
 
-// Sweep drops expired records in bounded steps.
+// Sweep drops expired records in bounded steps, and what is no longer known of
+// the loads of owners.
 func (e *Engine) Sweep(limit int) {
 	now := e.options.Clock.Now()
+	e.loads.sweep(now)
 	e.ledger.Load().Sweep(now, limit)
 	e.archives.Range(func(home, archive any) bool {
 		a := archive.(*once.Archive)
--- a/core/traffic/load.go
+++ b/core/traffic/load.go
@@ -33,6 +33,18 @@
 	t.entries.Store(loadKey{service: service, owner: owner}, loadEntry{avoid: until})
 }
 
+// sweep forgets entries that no longer count. Instances are replaced all the
+// time under new names.
+func (t *loadTable) sweep(now time.Time) {
+	t.entries.Range(func(key, found any) bool {
+		entry := found.(loadEntry)
+		if !now.Before(entry.avoid) && now.Sub(entry.at) > loadLife {
+			t.entries.CompareAndDelete(key, found)
+		}
+		return true
+	})
+}
+
 // cost orders owners: the expected number of requests for each slot, or a
 // neutral value if nothing recent is known.
 func (t *loadTable) cost(service fleet.ServiceName, owner fleet.InstanceID, now time.Time) float64 {
--- a/core/traffic/queries.go
+++ b/core/traffic/queries.go
@@ -11,14 +11,18 @@
 // RecordCounts counts the records of this incarnation and those of ended ones
 // that this instance answers from.
 func (e *Engine) RecordCounts() (held, inherited int) {
-	return e.ledger.Load().Len(), e.imported()
+	inherited, _ = e.imported()
+	return e.ledger.Load().Len(), inherited
 }
 
-func (e *Engine) imported() int {
-	count := 0
-	e.archives.Range(func(_, archive any) bool {
-		count += archive.(*once.Archive).Len()
+// imported counts the records of ended incarnations and the bytes of their
+// stored responses.
+func (e *Engine) imported() (count int, memory int64) {
+	e.archives.Range(func(_, found any) bool {
+		archive := found.(*once.Archive)
+		count += archive.Len()
+		memory += archive.Memory()
 		return true
 	})
-	return count
+	return count, memory
 }
--- a/core/traffic/serve.go
+++ b/core/traffic/serve.go
@@ -72,7 +72,7 @@
 
 // submit hands a protected request to its home or to who answers for it.
 func (e *Engine) submit(ctx context.Context, home fleet.Member, token once.Token, request exchange.Request) exchange.Response {
-	if response, answered := e.Submit(ctx, token, request); answered {
+	if response, answered := e.answer(ctx, token, request); answered {
 		return response
 	}
 	view := e.options.Control.View()
@@ -111,6 +111,15 @@
 // Submit answers a protected request if this instance is its home or holds the
 // records of its home, and reports false otherwise.
 func (e *Engine) Submit(ctx context.Context, token once.Token, request exchange.Request) (exchange.Response, bool) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	return e.answer(ctx, token, request)
+}
+
+// answer answers from the records of this instance, if it has those of the
+// home.
+func (e *Engine) answer(ctx context.Context, token once.Token, request exchange.Request) (exchange.Response, bool) {
+	request.Protected = true
 	claims, err := once.ParseHome(token)
 	if err != nil {
 		return exchange.Refuse(exchange.BadRequest, "token is malformed"), true
--- /dev/null
+++ b/core/traffic/serve_test.go
@@ -0,0 +1,253 @@
+package traffic_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/config"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/member"
+	"galenaridge/core/once"
+	"galenaridge/core/traffic"
+)
+
+// keyed serves a protected request under a token and a key.
+func (f *fake) keyed(token once.Token, key fleet.Key) exchange.Response {
+	request := f.request("POST")
+	request.Key = key
+	return f.engine.Serve(context.Background(), request, token).Response
+}
+
+func (f *fake) mint(t *testing.T) once.Token {
+	t.Helper()
+	token, err := f.engine.Mint(svc)
+	require.NoError(t, err)
+	return token
+}
+
+// TestOnce guards against a key that runs twice, and against an answer to a
+// repeated key that differs from what happened.
+func TestOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		send   func(traffic.Attempt) (exchange.Response, traffic.Evidence)
+		first  fleet.Outcome
+		second fleet.Outcome
+		code   exchange.Code
+	}{
+		{"done is replayed", succeed, fleet.Done, fleet.Done, ""},
+		{"a server error is replayed", fail, fleet.Done, fleet.Done, ""},
+		{"unknown stays unknown", lost, fleet.Unknown, fleet.Unknown, exchange.UpstreamLost},
+		{"not run stays refused", denied, fleet.NotRun, fleet.NotRun, exchange.Refused},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, []fleet.ServerID{"1"})
+			f.send = tt.send
+			token := f.mint(t)
+			assert.Equal(t, tt.first, f.keyed(token, "k").Outcome)
+			f.send = succeed
+			got := f.keyed(token, "k")
+			assert.Equal(t, tt.second, got.Outcome)
+			assert.Equal(t, tt.code, got.Code)
+			assert.Len(t, f.sent, 1)
+		})
+	}
+}
+
+// TestTokens guards against a start by an instance that is not the home, and
+// against "not run" where the home may have started the request.
+func TestTokens(t *testing.T) {
+	f := start(t, []fleet.ServerID{"1"})
+	genuine := f.mint(t)
+	former := f.mint(t)
+	require.Equal(t, fleet.Done, f.keyed(former, "ran").Outcome)
+	require.NoError(t, f.engine.Rejoin(fleet.Member{ID: "self", Incarnation: 99}))
+	current := f.mint(t)
+	f.sent = nil
+	elsewhere := start(t, nil).mint(t)
+	tests := []struct {
+		name    string
+		token   once.Token
+		key     fleet.Key
+		outcome fleet.Outcome
+		code    exchange.Code
+	}{
+		{"key without token", "", "k", fleet.NotRun, exchange.TokenRequired},
+		{"malformed token", "x", "k", fleet.NotRun, exchange.BadRequest},
+		{"former incarnation, key that ran", former, "ran", fleet.Done, ""},
+		{"former incarnation, new key", genuine, "new", fleet.NotRun, exchange.Stopping},
+		{"another home that cannot be reached", elsewhere, "k", fleet.Unknown, exchange.HomeLost},
+	}
+	f.submit = func(member.Peer) (exchange.Response, bool) { return exchange.Response{}, false }
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := f.keyed(tt.token, tt.key)
+			assert.Equal(t, tt.outcome, got.Outcome)
+			assert.Equal(t, tt.code, got.Code)
+			assert.Empty(t, f.sent)
+		})
+	}
+	require.Equal(t, fleet.Done, f.keyed(current, "k").Outcome)
+}
+
+// TestEarlyRefusals guards against "not run" for a key that may have run, from
+// an instance that has no configuration or does not know the service.
+func TestEarlyRefusals(t *testing.T) {
+	tests := []struct {
+		name    string
+		service fleet.ServiceName
+		ready   bool
+		token   bool
+		outcome fleet.Outcome
+		code    exchange.Code
+	}{
+		{"no configuration", svc, false, false, fleet.NotRun, exchange.NotReady},
+		{"no configuration, copy", svc, false, true, fleet.Unknown, exchange.NotReady},
+		{"unknown service", "other", true, false, fleet.NotRun, exchange.NoService},
+		{"unknown service, copy", "other", true, true, fleet.Unknown, exchange.NoService},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, []fleet.ServerID{"1"})
+			token := once.Token("")
+			if tt.token {
+				token = f.mint(t)
+			}
+			if !tt.ready {
+				changed := *f.view
+				changed.Config = config.NewState().View()
+				f.set(&changed)
+			}
+			request := f.request("POST")
+			request.Service, request.Key = tt.service, "k"
+			got := f.engine.Serve(context.Background(), request, token).Response
+			assert.Equal(t, tt.outcome, got.Outcome)
+			assert.Equal(t, tt.code, got.Code)
+			assert.Empty(t, f.sent)
+		})
+	}
+}
+
+// TestPlain guards against a protected request without token and key that
+// cannot be asked about again.
+func TestPlain(t *testing.T) {
+	f := start(t, []fleet.ServerID{"1"})
+	result := f.engine.Serve(context.Background(), f.request("POST"), "")
+	require.Equal(t, fleet.Done, result.Response.Outcome)
+	require.NotEmpty(t, result.Token)
+	require.NotEmpty(t, result.Key)
+	assert.Equal(t, fleet.Done, f.keyed(result.Token, result.Key).Outcome)
+	assert.Len(t, f.sent, 1)
+}
+
+// TestDuplicate guards against a second start while the first runs, and
+// against a caller that leaves and so interrupts the request.
+func TestDuplicate(t *testing.T) {
+	f := start(t, []fleet.ServerID{"1"})
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	f.send = func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+		close(entered)
+		<-proceed
+		return succeed(attempt)
+	}
+	token := f.mint(t)
+	request := f.request("POST")
+	request.Key = "k"
+	ctx, leave := context.WithCancel(context.Background())
+	answers := make(chan exchange.Response, 2)
+	go func() { answers <- f.engine.Serve(ctx, request, token).Response }()
+	<-entered
+	leave()
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	running := f.engine.Serve(gone, request, token).Response
+	assert.Equal(t, exchange.Running, running.Code)
+	assert.Equal(t, fleet.Unknown, running.Outcome)
+	go func() { answers <- f.engine.Serve(context.Background(), request, token).Response }()
+	close(proceed)
+	for range 2 {
+		assert.Equal(t, fleet.Done, (<-answers).Outcome)
+	}
+	assert.Len(t, f.sent, 1)
+}
+
+// TestPanic guards against a panic that leaves a key running for ever, a slot
+// taken, or a later copy that starts the request again.
+func TestPanic(t *testing.T) {
+	f := start(t, []fleet.ServerID{"1"})
+	f.send = func(traffic.Attempt) (exchange.Response, traffic.Evidence) { panic("sender fault") }
+	token := f.mint(t)
+	assert.Panics(t, func() { f.keyed(token, "k") })
+	f.send = succeed
+	assert.Equal(t, fleet.Unknown, f.keyed(token, "k").Outcome)
+	assert.Len(t, f.sent, 1)
+	service := f.view.Services[svc]
+	assert.Zero(t, service.Pool.Load().Busy)
+	assert.Zero(t, service.Servers["1"].Counters.Snapshot(f.clock.Now()).InFlight)
+	assert.Zero(t, f.engine.InFlight())
+}
+
+// TestSubmit guards against a request of another instance that the home does
+// not count as in flight, so that a planned stop would interrupt it, or that it
+// treats as idempotent because the sender has an older configuration.
+func TestSubmit(t *testing.T) {
+	f := start(t, []fleet.ServerID{"1", "2"})
+	f.send = func(traffic.Attempt) (exchange.Response, traffic.Evidence) {
+		assert.Equal(t, 1, f.engine.InFlight())
+		return lost(traffic.Attempt{})
+	}
+	request := f.request("POST")
+	request.Key, request.Protected = "k", false
+	got, answered := f.engine.Submit(context.Background(), f.mint(t), request)
+	assert.True(t, answered)
+	assert.Equal(t, fleet.Unknown, got.Outcome)
+	assert.Len(t, f.sent, 1)
+	assert.Zero(t, f.engine.InFlight())
+}
+
+// TestStop guards against a home that starts requests after it has handed its
+// records over, and against a successor that starts them.
+func TestStop(t *testing.T) {
+	home, successor := start(t, []fleet.ServerID{"1"}), start(t, []fleet.ServerID{"1"})
+	token := home.mint(t)
+	require.Equal(t, fleet.Done, home.keyed(token, "ran").Outcome)
+	ledger := home.engine.Stop()
+	assert.Equal(t, fleet.NotRun, home.keyed(token, "late").Outcome)
+	for _, batch := range ledger.Archive().Export(home.clock.Now(), once.BatchLimit{Records: 10, Bytes: 1 << 20}) {
+		require.True(t, successor.engine.Import(batch))
+	}
+	assert.Equal(t, fleet.Done, successor.keyed(token, "ran").Outcome)
+	assert.Equal(t, fleet.NotRun, successor.keyed(token, "late").Outcome)
+	assert.Empty(t, successor.sent)
+}
+
+// TestImport guards against a successor whose memory grows with the records of
+// others, and whose archives stay after all tokens have expired.
+func TestImport(t *testing.T) {
+	tests := []struct {
+		name     string
+		records  int
+		body     int
+		accepted bool
+	}{
+		{"few records", 10, 10, true},
+		{"too many records", 101, 0, false},
+		{"too many bytes", 2, 1 << 20, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, nil)
+			handover := once.Handover{Home: fleet.Member{ID: "gone", Incarnation: 1}, Until: time.Minute, Complete: true, Batches: 1}
+			for range tt.records {
+				handover.Records = append(handover.Records, once.Record{Response: exchange.Response{Body: make([]byte, tt.body)}})
+			}
+			assert.Equal(t, tt.accepted, f.engine.Import(handover))
+		})
+	}
+}
