--- a/core/admission/pool_test.go
+++ b/core/admission/pool_test.go
@@ -177,6 +177,33 @@
 	require.Equal(t, exchange.Load{Slots: 2}, p.Load())
 }
 
+// TestUntil guards against a server that stays ejected without a permit
+// because the control goroutine is late.
+func TestUntil(t *testing.T) {
+	tests := []struct {
+		name string
+		use  Use
+		ask  Ask
+		at   time.Duration
+		ok   bool
+	}{
+		{"ejected", None, Ask{}, 2 * time.Second, false},
+		{"ejection over", None, Ask{}, 3 * time.Second, true},
+		{"trial", Trial, Ask{Protected: true}, 2 * time.Second, false},
+		{"trial over", Trial, Ask{Protected: true}, 3 * time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := newPool(clock)
+			p.SetServers([]ServerSlots{{Server: "a", Slots: 2, Use: test.use, Until: clock.Now().Add(3 * time.Second)}})
+			clock.Advance(test.at)
+			_, err := p.Acquire(t.Context(), test.ask)
+			require.Equal(t, test.ok, err == nil, "%v", err)
+		})
+	}
+}
+
 // TestFairness guards against tenants that get more than their weight, and
 // against unprotected requests that pass protected ones.
 func TestFairness(t *testing.T) {
@@ -287,3 +314,95 @@
 		})
 	}
 }
+
+// TestLate guards against slots that are given to requests whose answers
+// would come after their deadlines.
+func TestLate(t *testing.T) {
+	tests := []struct {
+		name     string
+		deadline time.Duration
+		waits    time.Duration
+		err      func(error) bool
+	}{
+		{"in time", 400 * time.Millisecond, 100 * time.Millisecond, nil},
+		{"less than a service time left", 400 * time.Millisecond, 350 * time.Millisecond, func(err error) bool {
+			_, overloaded := Overloaded(err)
+			return overloaded
+		}},
+		{"deadline passed", 400 * time.Millisecond, 400 * time.Millisecond, IsExpired},
+		{"service time above half of the deadline", 160 * time.Millisecond, 79 * time.Millisecond, nil},
+		{"no deadline", 0, time.Hour, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := newPool(clock, Normal)
+			first, _, err := p.enter(clock.Now(), &Ask{})
+			require.NoError(t, err)
+			_, _, err = p.enter(clock.Now(), &Ask{})
+			require.NoError(t, err)
+			ask := Ask{}
+			if test.deadline > 0 {
+				ask.Deadline = clock.Now().Add(test.deadline)
+			}
+			_, w, err := p.enter(clock.Now(), &ask)
+			require.NoError(t, err)
+			clock.Advance(test.waits)
+			// The mean stays at 100 ms.
+			first.since = clock.Now().Add(-100 * time.Millisecond)
+			first.Release()
+			<-w.ready
+			if test.err == nil {
+				require.NoError(t, w.err)
+				return
+			}
+			require.True(t, test.err(w.err), "%v", w.err)
+		})
+	}
+}
+
+// TestReleaseAfter guards against a slot that is used while the server still
+// works on a request that was given up, and against one that is never freed.
+func TestReleaseAfter(t *testing.T) {
+	const hold = 100 * time.Millisecond
+	tests := []struct {
+		name  string
+		drain bool
+		after time.Duration
+		free  bool
+	}{
+		{"held", false, hold - time.Millisecond, false},
+		{"free", false, hold, true},
+		{"drained while held", true, hold - time.Millisecond, false},
+		{"drained", true, hold, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := newPool(clock, Normal)
+			for range 2 {
+				g, err := p.Acquire(t.Context(), Ask{})
+				require.NoError(t, err)
+				g.ReleaseAfter(hold)
+				g.Release()
+			}
+			var freed <-chan struct{}
+			if test.drain {
+				freed = p.Drain("a")
+			} else {
+				_, w, err := p.enter(clock.Now(), &Ask{})
+				require.NoError(t, err)
+				require.NotNil(t, w)
+				freed = w.ready
+			}
+			clock.Advance(test.after)
+			p.Expire(clock.Now())
+			select {
+			case <-freed:
+				require.True(t, test.free)
+			default:
+				require.False(t, test.free)
+			}
+		})
+	}
+}
--- a/core/health/window.go
+++ b/core/health/window.go
@@ -53,6 +53,9 @@
 // record adds attempts that ended at an offset from the state's start.
 func (w *window) record(offset time.Duration, t *tally) {
 	w.advance(offset)
+	if t.attempts() == 0 && t.timed == 0 {
+		return
+	}
 	w.buckets[w.head%windowBuckets].add(t)
 	w.sum.add(t)
 }
@@ -79,15 +82,17 @@
 	w.sum = tally{}
 }
 
-// latest returns the newest attempts: as few buckets as hold count of them,
-// or the whole window if it holds fewer.
+// latest counts the newest attempts, without latencies: as few buckets as
+// hold count of them, or the whole window if it holds fewer.
 func (w *window) latest(count int) tally {
 	var sum tally
 	for back := range int64(windowBuckets) {
 		if w.head < back || sum.attempts() >= count {
 			break
 		}
-		sum.add(&w.buckets[(w.head-back)%windowBuckets])
+		bucket := &w.buckets[(w.head-back)%windowBuckets]
+		sum.succeeded += bucket.succeeded
+		sum.failed += bucket.failed
 	}
 	return sum
 }
--- a/core/traffic/engine_test.go
+++ b/core/traffic/engine_test.go
@@ -145,7 +145,7 @@
 	}
 	service := &control.Service{
 		Config: document.Services[0], Pool: admission.New(f.clock, admission.Options{}),
-		Budget: retry.NewBudget(retry.Options{}), Servers: map[fleet.ServerID]*control.Server{},
+		Budget: retry.NewBudget(retry.Options{Initial: 3, Cap: 10}), Servers: map[fleet.ServerID]*control.Server{},
 	}
 	var slots []admission.ServerSlots
 	for _, id := range servers {
@@ -226,6 +226,7 @@
 		{"protected is refused by the first server", "POST", sends{refused, succeed}, fleet.Done, 200, 2},
 		{"protected is denied by the right to write", "POST", sends{denied, succeed}, fleet.Done, 200, 2},
 		{"protected is refused by all servers", "POST", sends{refused, refused, refused}, fleet.NotRun, 503, 3},
+		{"protected is denied everywhere", "POST", sends{denied, denied, denied}, fleet.NotRun, 503, 3},
 		{"protected is lost on the second server", "POST", sends{refused, lost, succeed}, fleet.Unknown, 504, 2},
 		{"idempotent is lost and tried again", "GET", sends{lost, succeed}, fleet.Done, 200, 2},
 		{"idempotent is lost and then refused", "GET", sends{lost, refused, refused}, fleet.Unknown, 504, 3},
@@ -242,6 +243,8 @@
 			assert.Equal(t, tt.outcome, got.Outcome)
 			assert.Equal(t, tt.status, got.Status)
 			assert.Len(t, f.sent, tt.sent)
+			f.clock.Advance(time.Second)
+			f.view.Services[svc].Pool.Expire(f.clock.Now())
 			assert.Zero(t, f.view.Services[svc].Pool.Load().Busy, "slots are given back")
 		})
 	}
@@ -315,6 +318,16 @@
 	assert.Equal(t, 1, budget.Tokens())
 }
 
+// TestFreeAttempts guards against attempts that reach no server and use up the
+// budget for those that do.
+func TestFreeAttempts(t *testing.T) {
+	f := start(t, []fleet.ServerID{"1", "2", "3"})
+	f.send = denied
+	f.serve("GET")
+	assert.Len(t, f.sent, 3)
+	assert.Equal(t, 3, f.view.Services[svc].Budget.Tokens())
+}
+
 // TestChanges guards against a panic and against use of a server when the
 // service or the server is lost while a request waits for its slot.
 func TestChanges(t *testing.T) {
--- a/core/traffic/local.go
+++ b/core/traffic/local.go
@@ -9,6 +9,7 @@
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
 	"galenaridge/core/health"
+	"galenaridge/core/retry"
 )
 
 // runLocal carries out a request on the servers that this instance owns.
@@ -51,13 +52,19 @@
 
 // againHere decides whether another server of this instance should be tried.
 func (e *Engine) againHere(service *control.Service, request exchange.Request, t trial, made int) bool {
-	left := request.Deadline.Sub(e.options.Clock.Now())
-	return made < len(service.Servers) && e.retry(service, request, t, made, left)
+	if made >= len(service.Servers) {
+		return false
+	}
+	if t.made == 0 {
+		return made < retry.MaxAttempts && e.free(request, t)
+	}
+	return e.retry(service, request, t, made)
 }
 
 // attempt sends the request to the server of the grant and gives the slot back.
 func (e *Engine) attempt(ctx context.Context, grant *admission.Grant, request exchange.Request) trial {
-	defer grant.Release()
+	clear := time.Duration(0)
+	defer func() { release(grant, clear) }()
 	// The view is read again, since the wait for the slot may have been long.
 	service := e.options.Control.View().Services[request.Service]
 	if service == nil || service.Servers[grant.Server] == nil {
@@ -75,6 +82,7 @@
 		Deadline: e.serverDeadline(request, service.Config.Deadline),
 	})
 	result = resultOf(response, evidence)
+	clear = clearing(evidence)
 	if evidence.Draining && server.Listed.Presence != fleet.Leaving {
 		e.options.Drains.ServerDraining(request.Service, server.Listed.ID)
 	}
@@ -85,6 +93,38 @@
 	return t
 }
 
+const (
+	// clearTimedOut is how long a server may work on a request after its
+	// deadline: the server ends it by its own clock, which may be late by
+	// that.
+	clearTimedOut = 250 * time.Millisecond
+	// clearBroken is how long a server may work on a request whose connection
+	// was closed: the end of the connection has to reach it.
+	clearBroken = 50 * time.Millisecond
+)
+
+// clearing returns how long a server may still work on a request after its
+// attempt ended here. Its slot must not be used in that time.
+func clearing(evidence Evidence) time.Duration {
+	switch {
+	case !evidence.Written || evidence.Complete:
+		return 0
+	case evidence.TimedOut:
+		return clearTimedOut
+	default:
+		return clearBroken
+	}
+}
+
+// release gives a slot back, at once or after a time.
+func release(grant *admission.Grant, after time.Duration) {
+	if after > 0 {
+		grant.ReleaseAfter(after)
+		return
+	}
+	grant.Release()
+}
+
 // mayWrite is the right to send, checked on the monotonic clock right before
 // the first byte.
 func (e *Engine) mayWrite(server fleet.ServerID) bool {
--- a/core/traffic/run.go
+++ b/core/traffic/run.go
@@ -62,24 +62,28 @@
 	return all.response
 }
 
-// again decides whether another owner should be tried. An owner that made no
-// attempt costs no token of the budget.
+// again decides whether another owner should be tried.
 func (e *Engine) again(service *control.Service, request exchange.Request, t trial, made int) bool {
-	left := request.Deadline.Sub(e.options.Clock.Now())
 	if t.made == 0 {
-		return left > 0 && t.response.Code != exchange.BadRequest
+		return e.free(request, t)
 	}
-	return e.retry(service, request, t, made, left)
+	return e.retry(service, request, t, made)
+}
+
+// free decides about another attempt after one that reached no server. It adds
+// no load to the service and so costs no token of the budget.
+func (e *Engine) free(request exchange.Request, t trial) bool {
+	return e.options.Clock.Now().Before(request.Deadline) && t.response.Code != exchange.BadRequest
 }
 
 // retry decides about another attempt after one on a server.
-func (e *Engine) retry(service *control.Service, request exchange.Request, t trial, made int, left time.Duration) bool {
+func (e *Engine) retry(service *control.Service, request exchange.Request, t trial, made int) bool {
 	decision := retry.Decide(retry.Attempt{
 		Answered:   answered(request, t.response),
 		Idempotent: !request.Protected,
 		Written:    t.written,
 		Made:       made,
-		Left:       left,
+		Left:       request.Deadline.Sub(e.options.Clock.Now()),
 		Expected:   service.Health.Median(),
 	})
 	return decision == retry.Again && service.Budget.Spend()
