core/control: count servers that take work once, and forget lost ones

A server that announced that it leaves still counted as taking work, one that was leaving and ejected counted twice. A leaving server that was acquired counted as usable for the floor. The condition of an earlier hold decided about a server that was acquired again after the instance had held none.

--- a/core/control/service.go
+++ b/core/control/service.go
@@ -32,8 +32,10 @@
 	wishing    bool
 	reportedAt time.Time
 	reporting  bool
-	dirty      bool
-	published  *Service
+	// idle says that the last use of a server has been reported as over.
+	idle      bool
+	dirty     bool
+	published *Service
 }
 
 func newService(n *node, now time.Time, configured config.Service) *service {
@@ -101,8 +103,10 @@
 	s.updatePool()
 }
 
-// drop ends the use of a server.
+// drop ends the use of a server. The steward is told at once, because permits
+// for it are outstanding until then.
 func (s *service) drop(server fleet.ServerID) {
+	s.wishing = true
 	delete(s.held, server)
 	delete(s.conditions, server)
 	s.updatePool()
@@ -116,15 +120,21 @@
 		s.steward.Tick(now)
 		s.dirty = true
 	}
-	if len(s.held) == 0 {
+	if len(s.held) == 0 && s.idle {
 		return
 	}
+	s.idle = len(s.held) == 0 && !s.reporting
 	readings := make([]health.Reading, 0, len(s.held))
 	for id, owned := range s.held {
 		readings = append(readings, health.Reading{Server: id, Snapshot: owned.Counters.Snapshot(now)})
 	}
 	slices.SortFunc(readings, func(a, b health.Reading) int { return cmp.Compare(a.Server, b.Server) })
 	n.runHealth(now, s, s.health.Observe(now, readings, s.taking()))
+	for id, owned := range s.held {
+		if owned.Listed.Presence == fleet.Leaving {
+			n.runHealth(now, s, s.health.Drain(now, id))
+		}
+	}
 	n.applyPermits(now, s, s.permits.Tick(now))
 	if n.lease && !s.reporting && (s.wishing || now.Sub(s.reportedAt) >= reportEvery) {
 		n.report(now, s)
@@ -135,18 +145,18 @@
 // taking counts the servers of the service that take work, as far as known
 // here.
 func (s *service) taking() fleet.Servers {
-	count := 0
+	count := fleet.Servers(0)
 	for _, entry := range s.listed {
+		switch s.conditions[entry.ID] {
+		case health.Ejected, health.Dead, health.Draining:
+			continue
+		default:
+		}
 		if entry.Presence == fleet.Live {
 			count++
 		}
 	}
-	for _, condition := range s.conditions {
-		if condition == health.Ejected || condition == health.Dead {
-			count--
-		}
-	}
-	return fleet.Servers(max(count, 0))
+	return count
 }
 
 // noteConditions reports changed conditions and updates the pool.
