core/control: keep a server until its requests have ended

A server that the platform no longer listed, or whose service was no longer configured, was given up while requests to it ran, and stayed in the pool. The end of requests from before a fencing ended the present hold. A reply to the report of a former incarnation was taken for one to the present. The owners of services were not computed anew when holds changed. The only instance that could read the platform stopped its watch because of its own success.

--- a/core/control/commands.go
+++ b/core/control/commands.go
@@ -77,7 +77,7 @@
 
 // PlatformRead says that this instance has just read the platform.
 func (l *Loop) PlatformRead(ctx context.Context) error {
-	return l.tell(ctx, func(n *node, now time.Time) { n.platformAt = now })
+	return l.tell(ctx, func(n *node, now time.Time) { n.platformAt, n.readAt = now, now })
 }
 
 // ServerDraining says that a server announced on a response that it leaves. It
--- a/core/control/documents.go
+++ b/core/control/documents.go
@@ -36,9 +36,10 @@
 		}
 		n.services[configured.Name] = newService(n, now, configured)
 	}
-	for name := range n.services {
+	for name, s := range n.services {
 		if _, configured := view.Service(name); !configured {
 			delete(n.services, name)
+			n.retired = append(n.retired, s)
 		}
 	}
 }
@@ -126,9 +127,15 @@
 }
 
 // chooseWatch switches the watch of the platform on if this instance is among
-// the watchers of its failure domain.
+// the watchers of its failure domain. One that could read the platform when
+// those before it could not goes on for a while; otherwise its own success
+// would end its watch, and each next change would wait for platformSilence.
 func (n *node) chooseWatch(now time.Time) {
-	watch := n.watchRank() < n.watcherCount(now)
+	if n.watchRank() < n.watcherCount(now) {
+		n.watchNeeded = now
+	}
+	reads := now.Sub(n.readAt) < platformSilence
+	watch := n.watchNeeded.Equal(now) || n.watching && reads && now.Sub(n.watchNeeded) < watchHold
 	if watch != n.watching {
 		n.watching = watch
 		n.options.Watch.Enable(watch)
--- a/core/control/effects.go
+++ b/core/control/effects.go
@@ -108,6 +108,7 @@
 		n.runMember(n.members.Learn(now, effects.Learned))
 	}
 	if len(effects.Acquired)+len(effects.Stop)+len(effects.Lost) > 0 {
+		n.ownersStale = true
 		n.options.Events.Ownership(effects.Acquired, effects.Stop, effects.Lost)
 		n.changed = true
 	}
@@ -133,9 +134,12 @@
 		}
 		return
 	}
-	if listed, s := n.serverOf(resource); s != nil {
-		s.acquire(now, listed)
+	listed, s := n.serverOf(resource)
+	if s == nil {
+		return
 	}
+	n.holds[listed.ID] = &hold{service: s}
+	s.acquire(now, listed)
 }
 
 // stop ends new work on a resource and reports when work in flight has ended.
@@ -148,23 +152,28 @@
 		n.owners.Drained(now, resource)
 		return
 	}
-	listed, s := n.serverOf(resource)
-	if s == nil {
+	server := serverNamed(resource)
+	h := n.holds[server]
+	if h == nil {
 		n.owners.Drained(now, resource)
 		return
 	}
-	drained := s.pool.Drain(listed.ID)
+	drained := h.service.pool.Drain(server)
 	n.loop.senders.Go(func() {
 		select {
 		case <-drained:
-			n.loop.submit(n.ctx, func(n *node, now time.Time) { n.drained(now, resource) })
+			n.loop.submit(n.ctx, func(n *node, now time.Time) { n.drained(now, resource, h) })
 		case <-n.ctx.Done():
 		}
 	})
 }
 
-// drained ends the use of a resource whose work in flight has ended.
-func (n *node) drained(now time.Time, resource fleet.Resource) {
+// drained ends the use of a resource whose work in flight has ended. A hold
+// that was lost meanwhile is another one by now, if there is one.
+func (n *node) drained(now time.Time, resource fleet.Resource, h *hold) {
+	if n.holds[serverNamed(resource)] != h {
+		return
+	}
 	n.lose(resource)
 	n.owners.Drained(now, resource)
 }
@@ -178,11 +187,10 @@
 		}
 		return
 	}
-	server := fleet.ServerID(strings.TrimPrefix(string(resource), serverPrefix))
-	for _, s := range n.services {
-		if _, held := s.held[server]; held {
-			s.drop(server)
-		}
+	server := serverNamed(resource)
+	if h := n.holds[server]; h != nil {
+		delete(n.holds, server)
+		h.service.drop(server)
 	}
 	n.options.Prober.Forget(server)
 	n.changed = true
@@ -198,6 +206,11 @@
 	return fleet.ServiceName(name), found
 }
 
+// serverNamed returns the server that a resource stands for.
+func serverNamed(resource fleet.Resource) fleet.ServerID {
+	return fleet.ServerID(strings.TrimPrefix(string(resource), serverPrefix))
+}
+
 // serverOf returns the server that a resource stands for, and its service; nil
 // if it is not listed.
 func (n *node) serverOf(resource fleet.Resource) (fleet.ListedServer, *service) {
@@ -260,12 +273,14 @@
 		return
 	}
 	s.reporting = true
+	permits := s.permits
 	to := member.Peer{Member: steward.Member, Address: steward.Peer}
 	name := s.config.Name
 	call := func(ctx context.Context) (floor.Reply, error) { return n.options.Peers.Report(ctx, to, name, message) }
 	send(n, callTimeout, call, func(n *node, now time.Time, reply floor.Reply, err error) {
 		s.reporting = false
-		if err == nil {
+		// The reply to a former incarnation names its sequences and permits.
+		if err == nil && s.permits == permits {
 			n.takeReply(now, s, reply)
 		}
 	})
--- /dev/null
+++ b/core/control/fleet_test.go
@@ -0,0 +1,274 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"galenaridge/core/config"
+	"galenaridge/core/control"
+	"galenaridge/core/fleet"
+	"galenaridge/core/floor"
+	"galenaridge/core/member"
+	"galenaridge/core/ownership"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const svc fleet.ServiceName = "svc"
+
+// scale is how much faster than real time the fleets of tests live.
+const scale = 4
+
+// clock runs scale times as fast as real time.
+type clock struct{ start time.Time }
+
+func (c clock) Now() time.Time { return c.start.Add(time.Since(c.start) * scale) }
+
+func (c clock) NewTicker(every time.Duration) (<-chan time.Time, func()) {
+	ticker := time.NewTicker(every / scale)
+	return ticker.C, ticker.Stop
+}
+
+var errCut = errors.New("link is cut")
+
+// network carries messages between the loops of a test.
+type network struct {
+	mu    sync.Mutex
+	clock clock
+	nodes map[fleet.Address]*instance
+	cut   map[fleet.Address]bool
+}
+
+// instance is one loop with its links, its platform watch and its events.
+type instance struct {
+	*control.Loop
+	net     *network
+	id      fleet.InstanceID
+	address fleet.Address
+	cancel  context.CancelFunc
+	ended   conc.WaitGroup
+	// watching is whether the platform is watched.
+	watching atomic.Bool
+	// versions are those of the configurations that came into force.
+	mu        sync.Mutex
+	versions  []fleet.Version
+	rejoined  atomic.Int32
+	forgotten atomic.Int32
+}
+
+// to returns the instance at an address, unless a link to it is cut.
+func (i *instance) to(address fleet.Address) (*instance, error) {
+	i.net.mu.Lock()
+	defer i.net.mu.Unlock()
+	found := i.net.nodes[address]
+	if found == nil || i.net.cut[address] || i.net.cut[i.address] {
+		return nil, errCut
+	}
+	return found, nil
+}
+
+func (i *instance) Enable(on bool)                                     { i.watching.Store(on) }
+func (i *instance) Member(member.Event)                                {}
+func (i *instance) Rejoined(fleet.Member)                              { i.rejoined.Add(1) }
+func (i *instance) Condition(control.ConditionChange)                  {}
+func (i *instance) Ownership(_, _, _ []fleet.Resource)                 {}
+func (i *instance) Forget(fleet.ServerID)                              { i.forgotten.Add(1) }
+func (i *instance) EndIdle()                                           {}
+func (i *instance) Reachable(context.Context, fleet.ListedServer) bool { return true }
+
+func (i *instance) Config(decision config.Decision, version fleet.Version) {
+	if decision.Verdict == config.Adopted {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.versions = append(i.versions, version)
+	}
+}
+
+// links implements control.Peers.
+type links struct{ *instance }
+
+func (l links) Heartbeat(ctx context.Context, out member.HeartbeatOut, age control.PlatformAge) (member.HeartbeatReply, control.PlatformAge, error) {
+	to, err := l.to(out.To.Address)
+	if err != nil {
+		return member.HeartbeatReply{}, 0, err
+	}
+	return to.Heartbeat(ctx, out.Message, age)
+}
+
+func (l links) Sync(ctx context.Context, out member.SyncOut) (member.SyncReply, error) {
+	to, err := l.to(out.To.Address)
+	if err != nil {
+		return member.SyncReply{}, err
+	}
+	return to.Sync(ctx, out.Message)
+}
+
+func (l links) Fence(ctx context.Context, out member.FenceOut) (member.FenceReply, error) {
+	to, err := l.to(out.To.Address)
+	if err != nil {
+		return member.FenceReply{}, err
+	}
+	return to.Fence(ctx, out.Message)
+}
+
+func (l links) Claim(ctx context.Context, out ownership.ClaimOut) (ownership.ClaimReply, error) {
+	to, err := l.to(out.To.Address)
+	if err != nil {
+		return ownership.ClaimReply{}, err
+	}
+	return to.Claim(ctx, out.Message)
+}
+
+func (l links) Report(ctx context.Context, at member.Peer, service fleet.ServiceName, report floor.Report) (floor.Reply, error) {
+	to, err := l.to(at.Address)
+	if err != nil {
+		return floor.Reply{}, err
+	}
+	return to.Report(ctx, service, report)
+}
+
+func (l links) Probe(context.Context, member.Peer, fleet.ListedServer) (bool, error) {
+	return true, nil
+}
+
+func (l links) Fetch(_ context.Context, at member.Peer, known control.Known) (control.Documents, error) {
+	to, err := l.to(at.Address)
+	if err != nil {
+		return control.Documents{}, err
+	}
+	view := to.View()
+	var documents control.Documents
+	if view.Config.Version() > known.Version {
+		document := view.Config.Document()
+		documents.Config = &document
+	}
+	if view.Listing.Revision > known.Revision {
+		documents.Listing = &view.Listing
+	}
+	return documents, nil
+}
+
+// newNetwork returns a network without instances.
+func newNetwork() *network {
+	return &network{clock: clock{time.Now()}, nodes: map[fleet.Address]*instance{}, cut: map[fleet.Address]bool{}}
+}
+
+func name(i int) fleet.InstanceID { return fleet.InstanceID(fmt.Sprintf("i%d", i)) }
+
+func address(id fleet.InstanceID) fleet.Address { return fleet.Address("peer-" + id) }
+
+// start runs an instance until the test ends.
+func (n *network) start(t *testing.T, id fleet.InstanceID) *instance {
+	t.Helper()
+	i := &instance{net: n, id: id, address: address(id)}
+	i.Loop = control.New(control.Options{
+		Member: member.Options{
+			ID: id, Domain: "d", Peer: i.address, Caller: fleet.Address("caller-" + id),
+			Random: rand.New(rand.NewPCG(uint64(len(id)), uint64(id[len(id)-1]))),
+		},
+		Clock: n.clock, Peers: links{i}, Prober: i, Watch: i, Events: i,
+	})
+	n.mu.Lock()
+	n.nodes[i.address] = i
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.ended.Go(func() { i.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		i.ended.Wait()
+	})
+	return i
+}
+
+// link cuts or mends all links of an instance.
+func (n *network) link(i *instance, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[i.address] = cut
+}
+
+func document(version fleet.Version, services ...fleet.ServiceName) config.Document {
+	d := config.Document{
+		Version: version, Deployment: "d", Domains: []fleet.Domain{"d"},
+		Limits: config.Limits{Body: 1 << 20, Header: 16 << 10, Assignment: 5 * time.Second, Token: 10 * time.Minute},
+	}
+	for _, s := range services {
+		d.Services = append(d.Services, config.Service{Name: s, Slots: 2, Conns: 10, Floor: 1, Deadline: 500 * time.Millisecond})
+	}
+	d.Digest = config.DigestOf(d)
+	return d
+}
+
+// listing names instances i1 to i<instances> and servers s1 to s<servers>.
+func listing(revision fleet.Revision, instances, servers int) fleet.Listing {
+	l := fleet.Listing{Revision: revision}
+	for i := range instances {
+		id := name(i + 1)
+		l.Instances = append(l.Instances, fleet.ListedInstance{ID: id, Domain: "d", Peer: address(id)})
+	}
+	for i := range servers {
+		id := fleet.ServerID(fmt.Sprintf("s%d", i+1))
+		l.Servers = append(l.Servers, fleet.ListedServer{ID: id, Service: svc, Domain: "d", Address: "127.0.0.1:1"})
+	}
+	return l
+}
+
+// offer gives an instance a configuration and a listing.
+func (i *instance) offer(t *testing.T, d config.Document, l fleet.Listing) {
+	t.Helper()
+	_, err := i.OfferConfig(context.Background(), d)
+	require.NoError(t, err)
+	require.NoError(t, i.OfferListing(context.Background(), l))
+}
+
+// startFleet runs instances i1, i2 and so on, with the first two as watchers
+// of the platform.
+func startFleet(t *testing.T, instances, servers int) (*network, []*instance) {
+	t.Helper()
+	n := newNetwork()
+	var all []*instance
+	for i := range instances {
+		all = append(all, n.start(t, name(i+1)))
+	}
+	for _, i := range all {
+		i.offer(t, document(1, svc), listing(1, instances, servers))
+	}
+	return n, all
+}
+
+// holders returns which instances may send work to a server now.
+func holders(all []*instance, server fleet.ServerID) []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for _, i := range all {
+		if i.View().Holds(server, i.net.clock.Now()) {
+			ids = append(ids, i.id)
+		}
+	}
+	return ids
+}
+
+// awaitOwned waits until each server has one owner among the instances, and
+// fails as soon as one has two among all.
+func awaitOwned(t *testing.T, all, owners []*instance, servers int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		owned := 0
+		for s := range servers {
+			server := fleet.ServerID(fmt.Sprintf("s%d", s+1))
+			require.LessOrEqual(t, len(holders(all, server)), 1, "owners of one server")
+			owned += len(holders(owners, server))
+		}
+		return owned == servers
+	}, 8*time.Second, 5*time.Millisecond)
+}
--- /dev/null
+++ b/core/control/loop_test.go
@@ -0,0 +1,200 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/admission"
+	"galenaridge/core/control"
+	"galenaridge/core/fleet"
+)
+
+const (
+	patience = 8 * time.Second
+	poll     = 5 * time.Millisecond
+)
+
+// TestOwnership guards against servers without an owner or with two, when a
+// fleet starts and when an instance leaves as planned.
+func TestOwnership(t *testing.T) {
+	t.Parallel()
+	const servers = 12
+	_, all := startFleet(t, 4, servers)
+	awaitOwned(t, all, all, servers)
+	require.NoError(t, all[0].Leave(context.Background()))
+	awaitOwned(t, all, all[1:], servers)
+	assert.False(t, all[0].View().Ready(all[0].net.clock.Now()))
+}
+
+// TestLapse guards against an instance that uses servers after its lease has
+// lapsed, and against one that does not come back.
+func TestLapse(t *testing.T) {
+	t.Parallel()
+	const servers = 12
+	n, all := startFleet(t, 4, servers)
+	awaitOwned(t, all, all, servers)
+	n.link(all[0], true)
+	require.Eventually(t, func() bool { return !all[0].View().Lease(n.clock.Now()) }, patience, poll)
+	awaitOwned(t, all, all[1:], servers)
+	n.link(all[0], false)
+	require.Eventually(t, func() bool { return all[0].rejoined.Load() == 1 }, patience, poll)
+	require.Eventually(t, func() bool { return all[0].View().Ready(n.clock.Now()) }, patience, poll)
+	awaitOwned(t, all, all, servers)
+}
+
+// TestConfiguration guards against versions that go back, and against an
+// instance that stays behind or becomes ready with an old configuration.
+func TestConfiguration(t *testing.T) {
+	t.Parallel()
+	n, all := startFleet(t, 3, 3)
+	awaitOwned(t, all, all, 3)
+	_, err := all[0].OfferConfig(context.Background(), document(3, svc))
+	require.NoError(t, err)
+	_, err = all[1].OfferConfig(context.Background(), document(2, svc))
+	require.NoError(t, err)
+	for _, i := range all {
+		require.Eventually(t, func() bool { return i.View().Config.Version() == 3 }, patience, poll)
+	}
+	late := n.start(t, "i4")
+	late.offer(t, document(1, svc), listing(2, 4, 3))
+	require.Eventually(t, func() bool {
+		view := late.View()
+		if view.Ready(n.clock.Now()) {
+			assert.Equal(t, fleet.Version(3), view.Config.Version())
+			return true
+		}
+		return false
+	}, patience, poll)
+	for _, i := range append(all, late) {
+		i.mu.Lock()
+		assert.IsIncreasing(t, i.versions)
+		i.mu.Unlock()
+	}
+}
+
+// TestWatch guards against a platform that nobody reads although one instance
+// can, and against a watch that goes on and off.
+func TestWatch(t *testing.T) {
+	t.Parallel()
+	n, all := startFleet(t, 3, 1)
+	watching := func() []*instance {
+		var on []*instance
+		for _, i := range all {
+			if i.watching.Load() {
+				on = append(on, i)
+			}
+		}
+		return on
+	}
+	require.Eventually(t, func() bool { return all[0].View().Lease(n.clock.Now()) && len(watching()) == 2 }, patience, poll)
+	first := watching()
+	require.Eventually(t, func() bool { return len(watching()) == 3 }, patience, poll)
+	third := all[0]
+	for _, i := range all {
+		if i != first[0] && i != first[1] {
+			third = i
+		}
+	}
+	for until := n.clock.Now().Add(6 * time.Second); n.clock.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		require.NoError(t, third.PlatformRead(context.Background()))
+		assert.True(t, third.watching.Load(), "the only instance that can read the platform")
+	}
+}
+
+// alone starts a single instance that holds the servers.
+func alone(t *testing.T, servers int) (*instance, *control.Service) {
+	t.Helper()
+	_, all := startFleet(t, 1, servers)
+	awaitOwned(t, all, all, servers)
+	return all[0], all[0].View().Services[svc]
+}
+
+// TestRemoval guards against a server that is given up while a request to it
+// runs, or that is used for ever, when it or its service is removed.
+func TestRemoval(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		remove func(i *instance)
+	}{
+		{"server not listed", func(i *instance) {
+			require.NoError(t, i.OfferListing(context.Background(), listing(2, 1, 0)))
+		}},
+		{"service not configured", func(i *instance) {
+			_, err := i.OfferConfig(context.Background(), document(2, "other"))
+			require.NoError(t, err)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			i, service := alone(t, 1)
+			grant, err := service.Pool.Acquire(context.Background(), admission.Ask{Weight: 1})
+			require.NoError(t, err)
+			tt.remove(i)
+			_, err = service.Pool.Acquire(context.Background(), admission.Ask{Weight: 1})
+			assert.Error(t, err, "new work")
+			forgotten := func() bool { return i.forgotten.Load() > 0 }
+			assert.Never(t, forgotten, 100*time.Millisecond, poll)
+			grant.Release()
+			require.Eventually(t, forgotten, patience, poll)
+			if current := i.View().Services[svc]; current != nil {
+				require.Eventually(t, func() bool { return len(i.View().Services[svc].Servers) == 0 }, patience, poll)
+			}
+		})
+	}
+}
+
+// TestRelisted guards against a server that stays unused because the end of an
+// earlier hold is taken for that of the present one.
+func TestRelisted(t *testing.T) {
+	t.Parallel()
+	i, service := alone(t, 1)
+	grant, err := service.Pool.Acquire(context.Background(), admission.Ask{Weight: 1})
+	require.NoError(t, err)
+	require.NoError(t, i.OfferListing(context.Background(), listing(2, 1, 0)))
+	require.NoError(t, i.OfferListing(context.Background(), listing(3, 1, 1)))
+	grant.Release()
+	require.Eventually(t, func() bool {
+		if len(holders([]*instance{i}, "s1")) == 0 {
+			return false
+		}
+		again, err := i.View().Services[svc].Pool.Acquire(context.Background(), admission.Ask{Weight: 1})
+		if err != nil {
+			return false
+		}
+		again.Release()
+		return true
+	}, patience, poll)
+}
+
+// TestLeavingServer guards against a leaving server that gets work or counts as
+// usable for the floor.
+func TestLeavingServer(t *testing.T) {
+	t.Parallel()
+	n := newNetwork()
+	i := n.start(t, "i1")
+	list := listing(1, 1, 2)
+	list.Servers[0].Presence = fleet.Leaving
+	i.offer(t, document(1, svc), list)
+	awaitOwned(t, []*instance{i}, []*instance{i}, 2)
+	require.Eventually(t, func() bool {
+		usable := i.View().Services[svc].Health.Usable()
+		return len(usable) == 1 && usable[0] == "s2"
+	}, patience, poll)
+	assert.Equal(t, fleet.Slots(2), i.View().Services[svc].Pool.Load().Slots)
+}
+
+// TestStopped guards against callers that wait for ever for a loop that ended.
+func TestStopped(t *testing.T) {
+	t.Parallel()
+	i, _ := alone(t, 1)
+	i.cancel()
+	i.ended.Wait()
+	assert.ErrorIs(t, i.Leave(context.Background()), control.ErrStopped)
+	i.ServerDraining(svc, "s1")
+}
--- a/core/control/node.go
+++ b/core/control/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"galenaridge/core/config"
@@ -21,6 +22,11 @@
 	owners   *ownership.State
 	config   *config.State
 	services map[fleet.ServiceName]*service
+	// retired holds services that are no longer configured while requests to
+	// their servers run.
+	retired []*service
+	// holds maps each server that this instance uses to its hold.
+	holds map[fleet.ServerID]*hold
 	// servers maps each listed server of a configured service to its entry.
 	servers map[fleet.ServerID]fleet.ListedServer
 	listing fleet.Listing
@@ -28,19 +34,29 @@
 
 	self       fleet.Member
 	generation uint64
-	lease      bool
-	leaving    bool
-	watching   bool
-	fetching   bool
+	// ownersStale says that the owners of services must be computed anew.
+	ownersStale bool
+	lease       bool
+	leaving     bool
+	watching    bool
+	fetching    bool
 	// newest is the highest version that any peer reported.
 	newest     fleet.Version
 	newestAt   time.Time
 	configAt   time.Time
 	listingAt  time.Time
 	platformAt time.Time
-	changed    bool
+	// watchNeeded is when this instance was last among the watchers by rank,
+	// and readAt when it last read the platform.
+	watchNeeded time.Time
+	readAt      time.Time
+	changed     bool
 }
 
+// hold is one period in which this instance uses a server. It refers to the
+// service, because that may have been removed from the configuration.
+type hold struct{ service *service }
+
 func newNode(l *Loop) *node {
 	now := l.options.Clock.Now()
 	n := &node{
@@ -50,6 +66,7 @@
 		owners:   ownership.New(ownership.Options{}),
 		config:   config.NewState(),
 		services: map[fleet.ServiceName]*service{},
+		holds:    map[fleet.ServerID]*hold{},
 		servers:  map[fleet.ServerID]fleet.ListedServer{},
 	}
 	n.self = n.members.View().Self().Member
@@ -68,9 +85,21 @@
 	for _, s := range n.services {
 		s.tick(n, now)
 	}
+	n.tickRetired(now)
+	if n.ownersStale {
+		n.refreshOwners()
+	}
 	n.chooseWatch(now)
 }
 
+// tickRetired lets the last requests to removed services end.
+func (n *node) tickRetired(now time.Time) {
+	n.retired = slices.DeleteFunc(n.retired, func(s *service) bool {
+		s.pool.Expire(now)
+		return len(s.held) == 0
+	})
+}
+
 // checkLease notes the gain and the loss of the lease.
 func (n *node) checkLease(now time.Time) {
 	valid := n.members.View().LeaseValid(now)
@@ -101,6 +130,7 @@
 
 // refreshOwners recomputes which instances serve each service.
 func (n *node) refreshOwners() {
+	n.ownersStale = false
 	view := n.owners.View()
 	for _, s := range n.services {
 		s.refreshOwners(view)
--- /dev/null
+++ b/core/control/node_test.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/admission"
+	"galenaridge/core/config"
+	"galenaridge/core/fleet"
+	"galenaridge/core/health"
+	"galenaridge/core/member"
+)
+
+// parts stands for everything around a node; none of it acts.
+type parts struct {
+	Peers
+	now time.Time
+}
+
+func (p *parts) Now() time.Time                                     { return p.now }
+func (p *parts) NewTicker(time.Duration) (<-chan time.Time, func()) { return nil, func() {} }
+func (p *parts) Enable(bool)                                        {}
+func (p *parts) Member(member.Event)                                {}
+func (p *parts) Rejoined(fleet.Member)                              {}
+func (p *parts) Condition(ConditionChange)                          {}
+func (p *parts) Config(config.Decision, fleet.Version)              {}
+func (p *parts) Ownership(_, _, _ []fleet.Resource)                 {}
+func (p *parts) Forget(fleet.ServerID)                              {}
+func (p *parts) EndIdle()                                           {}
+func (p *parts) Reachable(context.Context, fleet.ListedServer) bool { return true }
+
+// newTestNode returns a node that knows one service with two servers and does
+// not run.
+func newTestNode(t *testing.T) (*node, *parts) {
+	t.Helper()
+	p := &parts{now: time.Now()}
+	loop := New(Options{
+		Member: member.Options{ID: "i1", Domain: "d", Peer: "p", Random: rand.New(rand.NewPCG(1, 1))},
+		Clock:  p, Peers: p, Prober: p, Watch: p, Events: p,
+	})
+	n := loop.node
+	ctx, cancel := context.WithCancel(context.Background())
+	n.ctx = ctx
+	t.Cleanup(func() {
+		cancel()
+		loop.senders.Wait()
+	})
+	document := config.Document{
+		Version: 1, Deployment: "d", Domains: []fleet.Domain{"d"},
+		Services: []config.Service{{Name: "s", Slots: 2, Conns: 10, Floor: 1, Deadline: time.Second}},
+		Limits:   config.Limits{Body: 1 << 20, Header: 16 << 10, Assignment: 5 * time.Second, Token: 10 * time.Minute},
+	}
+	document.Digest = config.DigestOf(document)
+	require.Equal(t, config.Adopted, n.offerConfig(p.now, document).Verdict)
+	n.offerListing(p.now, fleet.Listing{Revision: 1, Servers: []fleet.ListedServer{
+		{ID: "1", Service: "s", Domain: "d"}, {ID: "2", Service: "s", Domain: "d"},
+	}})
+	return n, p
+}
+
+// TestStaleDrain guards against the end of requests from before a fencing that
+// is taken for the end of the present hold, which would leave a server unused.
+func TestStaleDrain(t *testing.T) {
+	n, p := newTestNode(t)
+	resource := fleet.ServerResource("1")
+	n.acquire(p.now, resource)
+	grant, err := n.services["s"].pool.Acquire(context.Background(), admission.Ask{Weight: 1})
+	require.NoError(t, err)
+	n.stop(p.now, resource)
+	n.lose(resource)
+	n.acquire(p.now, resource)
+	grant.Release()
+	(<-n.loop.commands)(n, p.now)
+	assert.Contains(t, n.services["s"].held, fleet.ServerID("1"))
+	again, err := n.services["s"].pool.Acquire(context.Background(), admission.Ask{Weight: 1})
+	require.NoError(t, err)
+	again.Release()
+}
+
+// TestTaking guards against servers that count twice or although they take no
+// work, which would let the last working server be ejected.
+func TestTaking(t *testing.T) {
+	tests := []struct {
+		name       string
+		conditions map[fleet.ServerID]health.Condition
+		leaving    fleet.ServerID
+		taking     fleet.Servers
+	}{
+		{"all healthy", nil, "", 2},
+		{"ejected", map[fleet.ServerID]health.Condition{"1": health.Ejected}, "", 1},
+		{"dead", map[fleet.ServerID]health.Condition{"1": health.Dead}, "", 1},
+		{"announced that it leaves", map[fleet.ServerID]health.Condition{"1": health.Draining}, "", 1},
+		{"leaving and ejected", map[fleet.ServerID]health.Condition{"1": health.Ejected}, "1", 1},
+		{"suspect", map[fleet.ServerID]health.Condition{"1": health.Suspect}, "", 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n, _ := newTestNode(t)
+			s := n.services["s"]
+			s.conditions = tt.conditions
+			for i := range s.listed {
+				if s.listed[i].ID == tt.leaving {
+					s.listed[i].Presence = fleet.Leaving
+				}
+			}
+			assert.Equal(t, tt.taking, s.taking())
+		})
+	}
+}
+
+// TestForget guards against the condition of an earlier hold that decides
+// about a server which is acquired again.
+func TestForget(t *testing.T) {
+	n, p := newTestNode(t)
+	s := n.services["s"]
+	n.acquire(p.now, fleet.ServerResource("1"))
+	s.tick(n, p.now)
+	n.serverDraining(p.now, "s", "1")
+	require.Equal(t, health.Draining, s.conditions["1"])
+	n.lose(fleet.ServerResource("1"))
+	s.tick(n, p.now)
+	n.acquire(p.now, fleet.ServerResource("1"))
+	s.tick(n, p.now)
+	assert.Equal(t, health.Healthy, s.conditions["1"])
+}
--- a/core/control/options.go
+++ b/core/control/options.go
@@ -103,6 +103,9 @@
 	// platformSilence is how long the fleet may hear nothing from the platform
 	// before further members of a failure domain try to read it.
 	platformSilence = 3 * time.Second
+	// watchHold is how long a further member goes on after it could read the
+	// platform. It bounds the number of watchers after an outage.
+	watchHold = 30 * time.Second
 	// newsLife bounds how long an instance waits for a configuration that a
 	// peer announced; if that peer was lost, nobody may have it any more.
 	newsLife = 5 * time.Second
