io/process: end with the control goroutine and let nothing start late

A panic in the control goroutine left a process that serves nothing and is never replaced. A configuration that the control goroutine did not take within 1 s was dropped until the next change. A request that another instance submitted after the wait of a planned stop could be interrupted by the exit.

TestControlEnds failed before. The other two have no test that shows them; TestRequests and TestPlannedStop cover the whole path of one instance.

--- a/io/process/adapters.go
+++ b/io/process/adapters.go
@@ -150,9 +150,6 @@
 // sink hands on what the watchers read.
 type sink struct{ process *Process }
 
-// offerTimeout bounds the wait for the control goroutine.
-const offerTimeout = time.Second
-
 // ConfigRead implements platform.Sink. A document that cannot be decoded is
 // refused; the one in force stays.
 func (s *sink) ConfigRead(value platform.Config) {
@@ -162,16 +159,14 @@
 			Error("configuration refused; the one in force stays")
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
-	defer cancel()
-	_, _ = s.process.control.OfferConfig(ctx, decoded)
+	// The wait has no limit but the end of the control goroutine: the platform
+	// would not say again what was dropped here.
+	_, _ = s.process.control.OfferConfig(context.Background(), decoded)
 }
 
 // ListRead implements platform.Sink.
 func (s *sink) ListRead(listing fleet.Listing) {
-	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
-	defer cancel()
-	_ = s.process.control.OfferListing(ctx, listing)
+	_ = s.process.control.OfferListing(context.Background(), listing)
 }
 
 // faults logs panics in handlers of messages.
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"galenaridge/core/control"
 	"galenaridge/core/fleet"
@@ -190,21 +191,25 @@
 func (p *Process) Run(ctx context.Context) error {
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
-	failures := make(chan error, 3)
+	failures := make(chan error, 4)
 	serve := func(name string, run func() error) {
 		wg.Go(func() {
 			if err := run(); err != nil {
-				failures <- eris.Wrapf(err, "%s server ended", name)
+				failures <- eris.Wrapf(err, "%s ended", name)
 			}
 		})
 	}
-	wg.Go(func() { p.control.Run(running) })
+	// Without its control goroutine an instance serves nothing, so its end is
+	// that of the process.
+	serve("control", func() error {
+		return panics.Try(func() { p.control.Run(running) }).AsError()
+	})
 	for _, w := range p.watchers {
 		wg.Go(func() { w.Run(running) })
 	}
-	serve("operator", func() error { return p.operator.Serve(p.operatorListener) })
-	serve("peer", func() error { return p.answers.Serve(p.peerListener) })
-	serve("caller", func() error { return p.callers.Serve(p.callerListener) })
+	serve("operator server", func() error { return p.operator.Serve(p.operatorListener) })
+	serve("peer server", func() error { return p.answers.Serve(p.peerListener) })
+	serve("caller server", func() error { return p.callers.Serve(p.callerListener) })
 	wg.Go(func() { p.upkeep(running) })
 	p.options.Log.WithFields(logrus.Fields{
 		"id":       p.options.Settings.ID,
--- a/io/process/stop.go
+++ b/io/process/stop.go
@@ -41,8 +41,11 @@
 	if err := p.callers.Shutdown(ctx); err != nil {
 		p.options.Log.WithError(err).Warn("callers were still connected at the end of the planned stop")
 	}
+	// Starts end before the wait, so that no request begins after it, which the
+	// exit would interrupt.
+	ledger := p.engine.Stop()
 	p.awaitIdle(ctx)
-	successor := p.handOver(ctx)
+	successor := p.handOver(ctx, ledger)
 	_ = p.control.Finish(ctx, successor)
 	p.sleep(leaveGossip)
 }
@@ -75,8 +78,7 @@
 
 // handOver gives the records to a live member, of the same failure domain if
 // there is one, and returns it; zero if none took them.
-func (p *Process) handOver(ctx context.Context) fleet.Member {
-	ledger := p.engine.Stop()
+func (p *Process) handOver(ctx context.Context, ledger *once.Ledger) fleet.Member {
 	batches := ledger.Archive().Export(p.options.Clock.Now(), once.BatchLimit{Records: handoverRecords, Bytes: handoverBytes})
 	for _, to := range successors(p.control.View()) {
 		accepted := true
