--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -31,6 +31,11 @@
 	// idleTimeout closes connections that carry nothing, so that 400
 	// instances do not keep 400 connections each.
 	idleTimeout = time.Minute
+	// streamWindow and connWindow are the bytes that a peer may send before the
+	// reader has taken them. Windows that grow by measurement send a ping with
+	// each message, and its answer wakes both sides once more.
+	streamWindow = 1 << 20
+	connWindow   = 4 << 20
 	// maxMessage bounds a message in bytes; the configuration may allow bodies of
 	// 64 MiB.
 	maxMessage = 66 << 20
@@ -89,6 +94,8 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(connWindow),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: time.Second},
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -73,6 +73,8 @@
 		grpc: grpc.NewServer(
 			grpc.MaxRecvMsgSize(maxMessage),
 			grpc.MaxSendMsgSize(maxMessage),
+			grpc.StaticStreamWindowSize(streamWindow),
+			grpc.StaticConnWindowSize(connWindow),
 			grpc.UnaryInterceptor(recoverPanics(options.Faults)),
 		),
 	}
