--- a/core/member/commands.go
+++ b/core/member/commands.go
@@ -151,7 +151,7 @@
 	var effects Effects
 	now = s.observe(now)
 	s.mergeAll(now, message.Records, &effects)
-	s.noteBootstrap(message.Records)
+	s.noteIntroduction(message.Records)
 	return SyncReply{Records: s.records(now)}, effects
 }
 
@@ -160,19 +160,19 @@
 	var effects Effects
 	now = s.observe(now)
 	s.mergeAll(now, reply.Records, &effects)
-	s.noteBootstrap(reply.Records)
+	s.noteIntroduction(reply.Records)
 	return effects
 }
 
-// noteBootstrap ends the search for members once an active one has sent all of
-// its records, its own first.
-func (s *State) noteBootstrap(records []Record) {
-	if len(records) == 0 || s.self.Status == Left {
+// noteIntroduction notes that an active member has sent all of its records, its
+// own first.
+func (s *State) noteIntroduction(records []Record) {
+	if len(records) == 0 {
 		return
 	}
 	sender, known := s.entries[records[0].Member]
 	if known && sender != s.self && (sender.Status == Active || sender.Status == Leaving) {
-		s.contacts.bootstrapped = true
+		s.contacts.introduced = true
 	}
 }
 
@@ -200,8 +200,13 @@
 		return effects
 	}
 	w := &e.witnessing
+	if reply.From != sent.To.Member {
+		// Another process has taken the address.
+		w.unreachable = add(w.unreachable, sent.To.Member)
+		return effects
+	}
 	w.unreachable = remove(w.unreachable, reply.From)
-	if reply.Granted && reply.From == sent.To.Member {
+	if reply.Granted {
 		s.countVote(e, reply.From)
 		s.certify(now, e, &effects)
 	}
--- a/core/member/contact.go
+++ b/core/member/contact.go
@@ -16,6 +16,8 @@
 	readAt time.Time
 	// dropped says since when the listing lacks an instance that it named.
 	dropped map[fleet.InstanceID]time.Time
+	// introduced means that an active member sent all of its records.
+	introduced bool
 	// bootstrapped means that the known records are complete enough to choose
 	// a panel.
 	bootstrapped bool
@@ -26,7 +28,7 @@
 }
 
 func (c *contacts) begin(now time.Time) {
-	c.bootstrapped = false
+	c.introduced, c.bootstrapped = false, false
 	c.beganAt = now
 	c.due = now
 	c.askedAt = make(map[fleet.Address]time.Time)
@@ -84,14 +86,21 @@
 	return k
 }
 
-// bootstrap decides whether an instance that found no active member may choose
-// a panel from the members known. All listed instances must be known, or after
-// some patience a majority of them, so that two halves of a fleet that starts
-// while the network is cut do not both begin.
+// bootstrap decides whether the records known are complete enough to choose a
+// panel. An instance that was introduced to a fleet must know as many members as
+// a majority of the listing. Otherwise, when both sides of a partition have
+// fenced each other, each would form a fleet of new incarnations. An instance
+// that found no active member must know all listed instances, or after some
+// patience a majority of them, so that two halves of a fleet that starts while
+// the network is cut do not both begin.
 func (s *State) bootstrap(now time.Time) {
 	if s.contacts.bootstrapped || s.self.Status == Left {
 		return
 	}
+	if s.contacts.introduced && 2*len(s.known().ids) > s.contacts.live() {
+		s.contacts.bootstrapped = true
+		return
+	}
 	patient := now.Sub(s.contacts.beganAt) >= bootstrapPatience
 	total, found, complete := s.countContacts()
 	switch {
@@ -102,6 +111,17 @@
 	}
 }
 
+// live returns the number of listed instances that are not leaving.
+func (c *contacts) live() int {
+	count := 0
+	for _, instance := range c.listing.Instances {
+		if instance.Presence == fleet.Live {
+			count++
+		}
+	}
+	return count
+}
+
 // countContacts returns how many instances should exist, this one included,
 // and how many of them are known. Complete is false if the listing is too old
 // to name this instance. Without a listing the addresses from the settings
--- a/core/ownership/commands.go
+++ b/core/ownership/commands.go
@@ -129,14 +129,16 @@
 	var effects Effects
 	reply := ClaimReply{From: s.self.Member}
 	from := message.From
+	if !s.hasMembers {
+		reply.Answers = refuse(message.Resources)
+		return reply, effects
+	}
 	status, known := s.status(from.Member)
 	if !known {
 		effects.Learned = append(effects.Learned, from)
 	}
-	if !s.hasMembers || from.Status.Ended() || known && status.Ended() {
-		for _, name := range message.Resources {
-			reply.Answers = append(reply.Answers, Answer{Resource: name, Verdict: Refused})
-		}
+	if from.Status.Ended() || known && status.Ended() {
+		reply.Answers = refuse(message.Resources)
 		return reply, effects
 	}
 	for _, name := range message.Resources {
@@ -151,6 +153,14 @@
 	return reply, effects
 }
 
+func refuse(names []fleet.Resource) []Answer {
+	answers := make([]Answer, 0, len(names))
+	for _, name := range names {
+		answers = append(answers, Answer{Resource: name, Verdict: Refused})
+	}
+	return answers
+}
+
 // HandleClaimReply takes the reply to a claim of this instance.
 func (s *State) HandleClaimReply(now time.Time, sent ClaimOut, reply ClaimReply) Effects {
 	var effects Effects
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -90,10 +90,14 @@
 	case "pause":
 		n.pause(p, time.Duration(rapid.IntRange(100, 10000).Draw(t, "pause"))*time.Millisecond)
 	case "replace":
-		n.kill(p)
-		n.start()
+		if p.alive {
+			n.kill(p)
+			n.start()
+		}
 	case "restart":
-		n.restart(p)
+		if p.alive {
+			n.restart(p)
+		}
 	case "split":
 		// Cuts off a failure domain, in one direction or both.
 		both := rapid.Bool().Draw(t, "both")
