--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,416 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/fleet"
+	"galenaridge/core/member"
+)
+
+const tick = 50 * time.Millisecond
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleetOf runs states that reach each other at once, except for those stopped.
+type fleetOf struct {
+	now     time.Time
+	states  map[fleet.Address]*member.State
+	order   []fleet.Address
+	stopped map[fleet.Address]bool
+	events  []member.Event
+}
+
+func address(i int) fleet.Address { return fleet.Address(fmt.Sprintf("10.0.0.%d:1", i)) }
+
+// newFleet starts count instances in the given number of failure domains.
+func newFleet(count, domains int) *fleetOf {
+	f := &fleetOf{now: epoch, states: map[fleet.Address]*member.State{}, stopped: map[fleet.Address]bool{}}
+	random := rand.New(rand.NewPCG(1, 1))
+	var listing fleet.Listing
+	for i := range count {
+		id := fleet.InstanceID(fmt.Sprintf("i%d", i))
+		domain := fleet.Domain(fmt.Sprintf("d%d", i%domains))
+		f.order = append(f.order, address(i))
+		f.states[address(i)] = member.New(epoch, member.Options{ID: id, Domain: domain, Peer: address(i), Random: random})
+		listing.Instances = append(listing.Instances, fleet.ListedInstance{ID: id, Domain: domain, Peer: address(i)})
+	}
+	listing.Revision = 1
+	for _, s := range f.states {
+		s.SetListing(epoch, listing)
+	}
+	return f
+}
+
+func (f *fleetOf) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+		for _, a := range f.order {
+			if !f.stopped[a] {
+				f.perform(a, f.states[a].Tick(f.now))
+			}
+		}
+	}
+}
+
+// perform delivers messages; those to a stopped process fail.
+func (f *fleetOf) perform(from fleet.Address, effects member.Effects) {
+	p := f.states[from]
+	f.events = append(f.events, effects.Events...)
+	for _, out := range effects.Heartbeats {
+		if q, ok := f.reach(out.To.Address); ok {
+			reply, more := q.HandleHeartbeat(f.now, out.Message)
+			f.perform(out.To.Address, more)
+			f.perform(from, p.HandleHeartbeatReply(f.now, out, reply))
+		} else {
+			f.perform(from, p.HeartbeatFailed(f.now, out))
+		}
+	}
+	for _, out := range effects.Syncs {
+		if q, ok := f.reach(out.To.Address); ok {
+			reply, more := q.HandleSync(f.now, out.Message)
+			f.perform(out.To.Address, more)
+			f.perform(from, p.HandleSyncReply(f.now, out, reply))
+		} else {
+			p.SyncFailed(f.now, out)
+		}
+	}
+	for _, out := range effects.Fences {
+		if q, ok := f.reach(out.To.Address); ok {
+			reply, more := q.HandleFence(f.now, out.Message)
+			f.perform(out.To.Address, more)
+			f.perform(from, p.HandleFenceReply(f.now, out, reply))
+		} else {
+			f.perform(from, p.FenceFailed(f.now, out))
+		}
+	}
+}
+
+func (f *fleetOf) reach(a fleet.Address) (*member.State, bool) {
+	s, ok := f.states[a]
+	return s, ok && !f.stopped[a]
+}
+
+func (f *fleetOf) state(i int) *member.State { return f.states[address(i)] }
+
+// Guards against panels that one failure could stop: the number of witnesses is
+// odd, at most three of five are local, and one instance is its own witness.
+func TestPanelFitsFleet(t *testing.T) {
+	tests := []struct {
+		count, domains   int
+		witnesses, local int
+		includesSelf     bool
+	}{
+		{count: 1, domains: 1, witnesses: 1, local: 1, includesSelf: true},
+		{count: 2, domains: 1, witnesses: 1, local: 1},
+		{count: 3, domains: 1, witnesses: 3, local: 3, includesSelf: true},
+		{count: 4, domains: 2, witnesses: 3, local: 1},
+		{count: 5, domains: 1, witnesses: 5, local: 5, includesSelf: true},
+		{count: 12, domains: 3, witnesses: 5, local: 3},
+		{count: 24, domains: 1, witnesses: 5, local: 5},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d in %d", tt.count, tt.domains), func(t *testing.T) {
+			f := newFleet(tt.count, tt.domains)
+			f.run(5 * time.Second)
+			view := f.state(0).View()
+			local := 0
+			for _, w := range view.Self().Witnesses {
+				if info, _ := view.Lookup(w); info.Domain == view.Self().Domain {
+					local++
+				}
+			}
+			assert.Equal(t, member.Active, view.Self().Status)
+			assert.True(t, view.LeaseValid(f.now))
+			assert.Len(t, view.Self().Witnesses, tt.witnesses)
+			assert.Equal(t, tt.local, local)
+			assert.Equal(t, tt.includesSelf, contains(view.Self().Witnesses, view.Self().Member))
+		})
+	}
+}
+
+func contains(list []fleet.Member, m fleet.Member) bool {
+	for _, other := range list {
+		if other == m {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a lease that counts from the reply instead of the sending, and
+// against a failed or foreign reply that counts as an acknowledgement.
+func TestLeaseCountsFromSending(t *testing.T) {
+	tests := []struct {
+		name    string
+		reply   func(member.HeartbeatReply) member.HeartbeatReply
+		renewed bool
+	}{
+		{name: "acknowledged", reply: func(r member.HeartbeatReply) member.HeartbeatReply { return r }, renewed: true},
+		{name: "refused", reply: func(r member.HeartbeatReply) member.HeartbeatReply { r.Acknowledged = false; return r }},
+		{name: "other process", reply: func(r member.HeartbeatReply) member.HeartbeatReply { r.From.Incarnation++; return r }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(2, 1)
+			f.run(3 * time.Second)
+			p, q := f.state(0), f.state(1)
+			before := p.View().LeaseUntil()
+			var out []member.HeartbeatOut
+			for len(out) == 0 {
+				f.now = f.now.Add(tick)
+				out = p.Tick(f.now).Heartbeats
+			}
+			reply, _ := q.HandleHeartbeat(f.now, out[0].Message)
+			sent := f.now
+			p.HandleHeartbeatReply(sent.Add(300*time.Millisecond), out[0], tt.reply(reply))
+			want := before
+			if tt.renewed {
+				want = sent.Add(2 * time.Second)
+			}
+			assert.Equal(t, want, p.View().LeaseUntil())
+		})
+	}
+}
+
+// Guards against votes that could fence a member with a valid lease.
+func TestVoteNeedsSilence(t *testing.T) {
+	tests := []struct {
+		name    string
+		silence time.Duration
+		// ticking is false if the witness itself was paused.
+		ticking  bool
+		oldPanel bool
+		granted  bool
+	}{
+		{name: "lately acknowledged", silence: time.Second, ticking: true},
+		{name: "within the lease", silence: 2 * time.Second, ticking: true},
+		{name: "silent", silence: 2100 * time.Millisecond, ticking: true, granted: true},
+		{name: "witness was paused", silence: 10 * time.Second},
+		{name: "panel is outdated", silence: 3 * time.Second, ticking: true, oldPanel: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(3, 1)
+			f.run(3 * time.Second)
+			witness, target := f.state(1), f.state(0).View().Self()
+			last := f.now
+			reply, _ := witness.HandleHeartbeat(last, member.Heartbeat{From: target.Member, Panel: target.Panel})
+			require.True(t, reply.Acknowledged)
+			end := last.Add(tt.silence)
+			for now := last; tt.ticking && now.Before(end); now = now.Add(tick) {
+				witness.Tick(now)
+			}
+			panel := target.Panel
+			if tt.oldPanel {
+				panel--
+			}
+			answer, _ := witness.HandleFence(end, member.FenceRequest{Target: target.Member, Panel: panel})
+			assert.Equal(t, tt.granted, answer.Granted)
+			reply, _ = witness.HandleHeartbeat(end, member.Heartbeat{From: target.Member, Panel: target.Panel})
+			assert.Equal(t, !tt.granted, reply.Acknowledged, "a voter never acknowledges again")
+		})
+	}
+}
+
+// Guards against a paused process that uses its old lease or accuses others
+// when it resumes, and against one that keeps its incarnation once fenced.
+func TestPauseAndResume(t *testing.T) {
+	f := newFleet(6, 2)
+	f.run(4 * time.Second)
+	old := f.state(0).View().Self().Member
+	f.stopped[address(0)] = true
+	f.run(10 * time.Second)
+	assert.False(t, f.state(0).View().LeaseValid(f.now))
+	info, _ := f.state(1).View().Lookup(old)
+	assert.Equal(t, member.Fenced, info.Status)
+	f.events = nil
+	f.stopped[address(0)] = false
+	f.run(4 * time.Second)
+	view := f.state(0).View()
+	assert.Equal(t, []fleet.Member{old}, view.Former())
+	assert.Equal(t, member.Active, view.Self().Status)
+	for _, event := range f.events {
+		if event.Kind == member.FencedOff {
+			assert.Equal(t, old, event.Member)
+		}
+	}
+}
+
+// Guards against fencing that is slow, and against one that hits the living.
+func TestKilledMemberIsFenced(t *testing.T) {
+	f := newFleet(12, 3)
+	f.run(4 * time.Second)
+	dead := f.state(5).View().Self().Member
+	f.stopped[address(5)] = true
+	f.run(3200 * time.Millisecond)
+	for i := range 12 {
+		for _, info := range f.state(i).View().Members() {
+			if i != 5 {
+				assert.Equal(t, info.Member == dead, info.Status == member.Fenced, "%v on %d", info.Member, i)
+			}
+		}
+	}
+}
+
+// Guards against a fleet whose leases lapsed together and never return.
+func TestAllPausedRecover(t *testing.T) {
+	f := newFleet(5, 1)
+	f.run(4 * time.Second)
+	f.now = f.now.Add(20 * time.Second)
+	f.run(3 * time.Second)
+	for i := range 5 {
+		assert.True(t, f.state(i).View().LeaseValid(f.now))
+		assert.Empty(t, f.state(i).View().Former())
+	}
+}
+
+// Guards against the survivor of two that waits for ever, and against one that
+// goes on alone before the platform has dropped the other.
+func TestSurvivorOfTwoWaitsForPlatform(t *testing.T) {
+	f := newFleet(2, 1)
+	f.run(4 * time.Second)
+	f.stopped[address(1)] = true
+	f.run(20 * time.Second)
+	assert.False(t, f.state(0).View().LeaseValid(f.now))
+	self := fleet.ListedInstance{ID: "i0", Peer: address(0)}
+	f.state(0).SetListing(f.now, fleet.Listing{Revision: 2, Instances: []fleet.ListedInstance{self}})
+	f.run(15 * time.Second)
+	assert.True(t, f.state(0).View().LeaseValid(f.now))
+}
+
+// Guards against a member that joins, or not, on too little knowledge.
+func TestBootstrap(t *testing.T) {
+	listed := func(ids ...fleet.InstanceID) *fleet.Listing {
+		listing := &fleet.Listing{Revision: 1}
+		for _, id := range ids {
+			listing.Instances = append(listing.Instances, fleet.ListedInstance{ID: id, Peer: fleet.Address(id)})
+		}
+		return listing
+	}
+	tests := []struct {
+		name     string
+		contacts []fleet.Address
+		listing  *fleet.Listing
+		wait     time.Duration
+		active   bool
+	}{
+		{name: "nothing known", wait: time.Minute},
+		{name: "alone in the listing", listing: listed("i"), wait: time.Second, active: true},
+		{name: "listing is older than this instance", listing: listed(), wait: time.Second},
+		{name: "listing stays empty", listing: listed(), wait: 11 * time.Second, active: true},
+		{name: "others do not answer", listing: listed("i", "a", "b"), wait: time.Minute},
+		{name: "contacts do not answer", contacts: []fleet.Address{"a"}, wait: time.Minute},
+		{name: "only contact is itself", contacts: []fleet.Address{"i"}, wait: time.Second, active: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 1))
+			s := member.New(epoch, member.Options{ID: "i", Peer: "i", Contacts: tt.contacts, Random: random})
+			if tt.listing != nil {
+				s.SetListing(epoch, *tt.listing)
+			}
+			for now := epoch; now.Sub(epoch) < tt.wait; now = now.Add(tick) {
+				s.Tick(now)
+			}
+			assert.Equal(t, tt.active, s.View().Self().Status == member.Active)
+		})
+	}
+}
+
+// Guards against gossip that moves a record backwards.
+func TestMergeMovesForward(t *testing.T) {
+	m := fleet.Member{ID: "x", Incarnation: 1}
+	tests := []struct {
+		name      string
+		have, get member.Record
+		want      member.Record
+	}{
+		{"later status", member.Record{Status: member.Active, Panel: 1}, member.Record{Status: member.Leaving}, member.Record{Status: member.Leaving, Panel: 1}},
+		{"earlier status", member.Record{Status: member.Left}, member.Record{Status: member.Active}, member.Record{Status: member.Left}},
+		{"newer panel", member.Record{Status: member.Fenced, Panel: 1}, member.Record{Panel: 3}, member.Record{Status: member.Fenced, Panel: 3}},
+		{"older panel", member.Record{Panel: 2}, member.Record{Panel: 1}, member.Record{Panel: 2}},
+		{"successor", member.Record{Status: member.Fenced}, member.Record{Status: member.Fenced, Successor: m}, member.Record{Status: member.Fenced, Successor: m}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.have.Member, tt.get.Member, tt.want.Member = m, m, m
+			s := member.New(epoch, member.Options{ID: "i", Random: rand.New(rand.NewPCG(1, 1))})
+			s.Learn(epoch, []member.Record{tt.have})
+			s.Learn(epoch, []member.Record{tt.get})
+			info, known := s.View().Lookup(m)
+			assert.True(t, known)
+			assert.Equal(t, tt.want, info.Record)
+		})
+	}
+}
+
+// Guards against records of ended members that are never dropped, or that come
+// back by gossip.
+func TestEndedRecordsAreDropped(t *testing.T) {
+	f := newFleet(4, 1)
+	f.run(4 * time.Second)
+	gone := f.state(3).View().Self().Member
+	f.perform(address(3), f.state(3).Leave(f.now))
+	f.run(time.Second)
+	f.perform(address(3), f.state(3).Finish(f.now, fleet.Member{}))
+	f.stopped[address(3)] = true
+	f.run(time.Second)
+	info, _ := f.state(0).View().Lookup(gone)
+	assert.Equal(t, member.Left, info.Status)
+	f.run(11 * time.Minute)
+	for i := range 3 {
+		_, known := f.state(i).View().Lookup(gone)
+		assert.False(t, known)
+	}
+}
+
+// Guards against a newer or conflicting document that goes unnoticed.
+func TestConfigEvents(t *testing.T) {
+	tests := []struct {
+		name   string
+		config member.Config
+		want   []member.EventKind
+	}{
+		{"same", member.Config{Version: 5, Digest: "a", Revision: 2}, nil},
+		{"older", member.Config{Version: 4, Digest: "b", Revision: 1}, nil},
+		{"newer document", member.Config{Version: 6, Digest: "b", Revision: 2}, []member.EventKind{member.ConfigNewer}},
+		{"newer listing", member.Config{Version: 5, Digest: "a", Revision: 3}, []member.EventKind{member.ConfigNewer}},
+		{"conflict", member.Config{Version: 5, Digest: "b", Revision: 2}, []member.EventKind{member.ConfigConflict}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := member.New(epoch, member.Options{ID: "i", Random: rand.New(rand.NewPCG(1, 1))})
+			s.SetConfig(epoch, member.Config{Version: 5, Digest: "a", Revision: 2})
+			from := member.Record{Member: fleet.Member{ID: "x", Incarnation: 1}}
+			news := member.News{Records: []member.Record{from}, Config: tt.config}
+			_, effects := s.HandleHeartbeat(epoch, member.Heartbeat{From: from.Member, News: news})
+			var kinds []member.EventKind
+			for _, event := range effects.Events {
+				kinds = append(kinds, event.Kind)
+			}
+			assert.Equal(t, tt.want, kinds)
+		})
+	}
+}
+
+func ExampleState() {
+	now := epoch
+	random := rand.New(rand.NewPCG(1, 1))
+	state := member.New(now, member.Options{ID: "i0", Domain: "d0", Peer: "10.0.0.1:1", Random: random})
+	state.SetListing(now, fleet.Listing{Revision: 1, Instances: []fleet.ListedInstance{{ID: "i0"}}})
+	for range 3 {
+		now = now.Add(50 * time.Millisecond)
+		for _, event := range state.Tick(now).Events {
+			fmt.Println(event.Kind, event.Member.ID)
+		}
+	}
+	fmt.Println(state.View().LeaseValid(now), state.View().LeaseValid(now.Add(10*time.Second)))
+	// Output:
+	// joined i0
+	// true false
+}
