--- a/core/ownership/answers.go
+++ b/core/ownership/answers.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		verdict := Held
-		if info.Status != member.Leaving && r.rate(m, info.Domain).before(claimant) {
+		if info.Status == member.Active && r.rate(m, info.Domain).before(claimant) {
 			verdict = Outranked
 		}
 		answers = append(answers, Answer{Resource: r.Resource, Verdict: verdict, Holder: info.Record})
--- a/core/ownership/doc.go
+++ b/core/ownership/doc.go
@@ -5,9 +5,9 @@
 //
 // Every instance ranks the members for each resource in the same order: first
 // those of the resource's failure domain, then the others, both by rendezvous
-// score. The first member that is not leaving claims the resource. It asks the
-// first three other candidates and everyone whom they name as a possible
-// holder. A member that does not hold the resource consents and promises to
+// score. The first active member claims the resource. It asks the first three
+// other candidates, joining and leaving ones included, and everyone whom they
+// name as a possible holder. A member that does not hold the resource consents and promises to
 // claim it only with the claimant's consent. A holder stops new work, waits
 // until its requests in flight have ended, and then consents. A claim succeeds
 // when all who were asked have consented; a fenced member counts as consenting
@@ -15,7 +15,8 @@
 //
 // A holder announces itself to the first three other candidates, again whenever
 // these change. Members that join in front of it therefore know it, even if
-// more than three join at once.
+// more than three join at once. A member that was never told of a holder also
+// names the first candidates that were active before itself.
 //
 // A holder that cannot reach a server yields it to the next candidate and does
 // not claim it again before a hold-off has passed.
--- a/core/ownership/order.go
+++ b/core/ownership/order.go
@@ -37,21 +37,28 @@
 	}
 }
 
-// roster holds the members that are candidates: active or leaving.
+// roster holds the members that are asked: all that have not ended. Joining ones
+// are among them because other instances may know them as active already.
 type roster struct {
 	domains  map[fleet.Member]fleet.Domain
 	byDomain map[fleet.Domain][]fleet.Member
+	// passive members are asked but claim nothing: joining and leaving ones.
+	passive map[fleet.Member]bool
 }
 
 func newRoster(members []member.Info) roster {
 	t := roster{
 		domains:  make(map[fleet.Member]fleet.Domain, len(members)),
 		byDomain: make(map[fleet.Domain][]fleet.Member),
+		passive:  make(map[fleet.Member]bool),
 	}
 	for _, info := range members {
-		if info.Status == member.Active || info.Status == member.Leaving {
+		if !info.Status.Ended() {
 			t.domains[info.Member] = info.Domain
 			t.byDomain[info.Domain] = append(t.byDomain[info.Domain], info.Member)
+			if info.Status != member.Active {
+				t.passive[info.Member] = true
+			}
 		}
 	}
 	return t
@@ -69,19 +76,22 @@
 	return result
 }
 
-// insertSlot puts a slot in its place in an order of at most orderLength.
+// insertSlot puts a slot in its place in an order of at most orderLength; it
+// modifies the order.
 func insertSlot(order []slot, n slot) []slot {
 	if len(order) == orderLength && !n.before(order[orderLength-1]) {
 		return order
 	}
-	at, _ := slices.BinarySearchFunc(order, n, func(a, b slot) int {
-		if a.before(b) {
-			return -1
-		}
-		return 1
-	})
-	order = slices.Insert(order, at, n)
-	return order[:min(len(order), orderLength)]
+	if len(order) < orderLength {
+		order = append(order, n)
+	}
+	at := len(order) - 1
+	for at > 0 && n.before(order[at-1]) {
+		order[at] = order[at-1]
+		at--
+	}
+	order[at] = n
+	return order
 }
 
 // computeOrder ranks all candidates. Other failure domains are ranked only if
@@ -178,15 +188,14 @@
 	return !ok || status.Ended()
 }
 
-// first reports whether this instance comes first among the members that are
-// not leaving and have not given the resource up to it.
+// first reports whether this instance comes first among the active members that
+// have not given the resource up to it.
 func (s *State) first(r *resource) bool {
 	for _, p := range r.order {
 		if p.member == s.self.Member {
 			return true
 		}
-		status, _ := s.status(p.member)
-		if status != member.Leaving && !slices.Contains(r.yielders, p.member) {
+		if !s.live.passive[p.member] && !slices.Contains(r.yielders, p.member) {
 			return false
 		}
 	}
--- a/core/ownership/queries.go
+++ b/core/ownership/queries.go
@@ -82,8 +82,8 @@
 	return member.Record{}, false
 }
 
-// Candidates returns the first candidates of a resource in order, leaving ones
-// included. It is empty if the resource is not wanted.
+// Candidates returns the first candidates of a resource in order, joining and
+// leaving ones included. It is empty if the resource is not wanted.
 func (v View) Candidates(resource fleet.Resource) []member.Record {
 	var records []member.Record
 	for _, p := range v.state.orders[resource] {
