--- a/core/admission/commands.go
+++ b/core/admission/commands.go
@@ -42,6 +42,10 @@
 	Server fleet.ServerID
 	Slots  fleet.Slots
 	Use    Use
+	// Until is when the server becomes one of last resort, whatever Use says;
+	// zero means never. It is the end of the ejection permit, so that the
+	// server returns in time even if the control goroutine is late.
+	Until time.Time
 }
 
 // Ask describes a request that needs a slot.
@@ -150,6 +154,7 @@
 	if ask.expired(now) {
 		return nil, nil, errExpired
 	}
+	p.servers.lapse(now)
 	if err := p.servers.refusal(ask); err != nil {
 		return nil, nil, err
 	}
@@ -209,6 +214,7 @@
 		return
 	}
 	g.released = true
+	p.servers.lapse(now)
 	p.learn(now.Sub(g.since))
 	p.free(g)
 	p.dispatch(now)
@@ -260,6 +266,7 @@
 	p.mu.Lock()
 	defer p.unlock()
 	p.servers.set(listed)
+	p.servers.lapse(now)
 	p.queue.sweep(p.servers.refusal)
 	p.dispatch(now)
 }
@@ -300,6 +307,7 @@
 func (p *Pool) Expire(now time.Time) {
 	p.mu.Lock()
 	defer p.unlock()
+	p.servers.lapse(now)
 	p.freeHeld(now)
 	p.queue.sweep(func(ask *Ask) error {
 		if ask.expired(now) {
--- a/core/traffic/serve.go
+++ b/core/traffic/serve.go
@@ -72,7 +72,7 @@
 
 // submit hands a protected request to its home or to who answers for it.
 func (e *Engine) submit(ctx context.Context, home fleet.Member, token once.Token, request exchange.Request) exchange.Response {
-	if response, answered := e.Submit(ctx, token, request); answered {
+	if response, answered := e.answer(ctx, token, request); answered {
 		return response
 	}
 	view := e.options.Control.View()
@@ -111,6 +111,15 @@
 // Submit answers a protected request if this instance is its home or holds the
 // records of its home, and reports false otherwise.
 func (e *Engine) Submit(ctx context.Context, token once.Token, request exchange.Request) (exchange.Response, bool) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	return e.answer(ctx, token, request)
+}
+
+// answer answers from the records of this instance, if it has those of the
+// home.
+func (e *Engine) answer(ctx context.Context, token once.Token, request exchange.Request) (exchange.Response, bool) {
+	request.Protected = true
 	claims, err := once.ParseHome(token)
 	if err != nil {
 		return exchange.Refuse(exchange.BadRequest, "token is malformed"), true
@@ -169,20 +178,28 @@
 
 // await asks for a decision until it is not to wait for an earlier duplicate.
 func (e *Engine) await(ctx context.Context, request exchange.Request, arrival once.Arrival, decide decider) (once.Decision, exchange.Response) {
+	decision := decide(arrival)
+	if decision.Verdict != once.Wait || decision.BodyDropped {
+		return decision, decided(decision)
+	}
+	// Only duplicates need a context with a timer.
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	for {
-		decision := decide(arrival)
-		if decision.BodyDropped {
-			return decision, exchange.Refuse(exchange.AnswerDropped, "the request ran; the body of its answer is no longer held")
-		}
-		if decision.Verdict != once.Wait {
-			return decision, decision.Response
-		}
+	for decision.Verdict == once.Wait && !decision.BodyDropped {
 		select {
 		case <-decision.Ended:
 		case <-ctx.Done():
 			return decision, exchange.Refuse(exchange.Running, "an earlier copy of the request is still running")
 		}
+		decision = decide(arrival)
+	}
+	return decision, decided(decision)
+}
+
+// decided returns the response of a decision that is not to wait.
+func decided(decision once.Decision) exchange.Response {
+	if decision.BodyDropped {
+		return exchange.Refuse(exchange.AnswerDropped, "the request ran; the body of its answer is no longer held")
 	}
+	return decision.Response
 }
