--- a/core/ownership/network_test.go
+++ b/core/ownership/network_test.go
@@ -34,6 +34,9 @@
 	owner   *ownership.State
 	alive   bool
 	leaving bool
+	// fencedList caches the result of fenced for one generation of the view.
+	fencedList []fleet.Member
+	fencedAt   uint64
 	// listedUntil is when the listing drops a dead process.
 	listedUntil time.Time
 	// resumeAt is set while the process is paused; waiting is what it runs then.
@@ -322,9 +325,11 @@
 
 // check looks for two holders and for a lease that outlives a certificate.
 func (n *network) check() {
-	for _, w := range n.wanted {
-		if ids := n.holders(w.Resource); len(ids) > 1 {
-			n.failure = fmt.Sprintf("%v: %s is held by %v", n.now.Sub(epoch), w.Resource, ids)
+	holder := make(map[fleet.Resource]fleet.InstanceID)
+	fenced := make(map[fleet.Member]fleet.InstanceID)
+	for _, q := range n.nodes {
+		for _, m := range q.fenced() {
+			fenced[m] = q.id
 		}
 	}
 	for _, p := range n.nodes {
@@ -332,12 +337,30 @@
 		if !p.alive || !view.LeaseValid(n.now) {
 			continue
 		}
-		for _, q := range n.nodes {
-			if info, _ := q.members.View().Lookup(view.Self().Member); info.Status == member.Fenced {
-				n.failure = fmt.Sprintf("%v: %s has a lease and is fenced according to %s", n.now.Sub(epoch), p.id, q.id)
+		if witness, found := fenced[view.Self().Member]; found {
+			n.failure = fmt.Sprintf("%v: %s has a lease and is fenced according to %s", n.now.Sub(epoch), p.id, witness)
+		}
+		for _, name := range p.owner.View().Held(true) {
+			if first, found := holder[name]; found {
+				n.failure = fmt.Sprintf("%v: %s is held by %s and %s", n.now.Sub(epoch), name, first, p.id)
+			}
+			holder[name] = p.id
+		}
+	}
+}
+
+// fenced returns the members that the process takes for fenced.
+func (p *node) fenced() []fleet.Member {
+	view := p.members.View()
+	if p.fencedAt != view.Generation() {
+		p.fencedAt, p.fencedList = view.Generation(), nil
+		for _, info := range view.Members() {
+			if info.Status == member.Fenced {
+				p.fencedList = append(p.fencedList, info.Member)
 			}
 		}
 	}
+	return p.fencedList
 }
 
 // settled reports whether each resource has exactly one holder; otherwise it
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -22,8 +22,8 @@
 	// The fleet may take 80 s after the last fault: up to 50 s until the last
 	// resort applies to a member that the listing never named, then the last
 	// resort, fencing and claims.
-	recoveryRounds = 4
-	recoveryRound  = 20 * time.Second
+	recoveryRounds = 8
+	recoveryRound  = 10 * time.Second
 )
 
 func TestMain(m *testing.M) {
@@ -57,6 +57,9 @@
 			// The list also changes when servers come and go.
 			n.list()
 			n.run(recoveryRound)
+			if _, ok := n.settled(); ok {
+				break
+			}
 		}
 		if n.failure != "" {
 			t.Fatal(n.failure)
