--- a/core/member/contact.go
+++ b/core/member/contact.go
@@ -14,6 +14,8 @@
 	// revision of it was first read.
 	listed bool
 	readAt time.Time
+	// named holds the ids in the listing.
+	named map[fleet.InstanceID]bool
 	// dropped says since when the listing lacks an instance that it named.
 	dropped map[fleet.InstanceID]time.Time
 	// introduced means that an active member sent all of its records.
@@ -47,7 +49,9 @@
 			c.dropped[instance.ID] = now
 		}
 	}
+	c.named = make(map[fleet.InstanceID]bool, len(listing.Instances))
 	for _, instance := range listing.Instances {
+		c.named[instance.ID] = true
 		delete(c.dropped, instance.ID)
 	}
 	for id, since := range c.dropped {
@@ -65,8 +69,7 @@
 	if since, missing = c.dropped[e.Member.ID]; missing || !c.listed {
 		return since, missing
 	}
-	named := slices.ContainsFunc(c.listing.Instances, func(i fleet.ListedInstance) bool { return i.ID == e.Member.ID })
-	return c.readAt, !named && c.readAt.Sub(e.FirstSeen) >= unlistedAfter
+	return e.FirstSeen, !c.named[e.Member.ID] && c.readAt.Sub(e.FirstSeen) >= unlistedAfter
 }
 
 // known tells which ids and addresses have a member that has not ended.
@@ -86,29 +89,29 @@
 	return k
 }
 
-// bootstrap decides whether the records known are complete enough to choose a
-// panel. An instance that was introduced to a fleet must know as many members as
-// a majority of the listing. Otherwise, when both sides of a partition have
-// fenced each other, each would form a fleet of new incarnations. An instance
-// that found no active member must know all listed instances, or after some
-// patience a majority of them, so that two halves of a fleet that starts while
-// the network is cut do not both begin.
+// bootstrap decides, until the first panel is chosen, whether the records known
+// are complete enough to choose one. An instance that was introduced to a fleet
+// must know as many members as a majority of the listing. Otherwise, when both
+// sides of a partition have fenced each other, each would form a fleet of new
+// incarnations. An instance that found no active member must know all listed
+// instances, or after some patience a majority of them, so that two halves of a
+// fleet that starts while the network is cut do not both begin.
 func (s *State) bootstrap(now time.Time) {
-	if s.contacts.bootstrapped || s.self.Status == Left {
-		return
-	}
-	if s.contacts.introduced && 2*len(s.known().ids) > s.contacts.live() {
-		s.contacts.bootstrapped = true
+	if s.committed.number > 0 {
 		return
 	}
+	introduced := s.contacts.introduced && 2*len(s.known().ids) > s.contacts.live()
+	s.contacts.bootstrapped = introduced || s.complete(now)
+}
+
+// complete reports whether enough of the listed instances are known.
+func (s *State) complete(now time.Time) bool {
 	patient := now.Sub(s.contacts.beganAt) >= bootstrapPatience
-	total, found, complete := s.countContacts()
-	switch {
-	case !complete && !patient, total == 0:
-		return
-	case found == total, patient && 2*found > total:
-		s.contacts.bootstrapped = true
+	total, found, current := s.countContacts()
+	if total == 0 || !current && !patient {
+		return false
 	}
+	return found == total || patient && 2*found > total
 }
 
 // live returns the number of listed instances that are not leaving.
@@ -123,10 +126,10 @@
 }
 
 // countContacts returns how many instances should exist, this one included,
-// and how many of them are known. Complete is false if the listing is too old
+// and how many of them are known. Current is false if the listing is too old
 // to name this instance. Without a listing the addresses from the settings
 // stand in; without either there is nothing to go by.
-func (s *State) countContacts() (total, found int, complete bool) {
+func (s *State) countContacts() (total, found int, current bool) {
 	k := s.known()
 	if len(s.contacts.listing.Instances) == 0 && len(s.options.Contacts) > 0 {
 		total, found = 1, 1
@@ -148,7 +151,7 @@
 	for _, instance := range s.contacts.listing.Instances {
 		switch {
 		case instance.ID == s.options.ID:
-			complete = true
+			current = true
 		case instance.Presence == fleet.Live:
 			total++
 			if k.ids[instance.ID] {
@@ -156,7 +159,7 @@
 			}
 		}
 	}
-	return total, found, complete
+	return total, found, current
 }
 
 // contact sends Syncs to addresses whose member is unknown. An instance that
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -49,7 +49,7 @@
 	if to != nil && to.Status == Fenced {
 		news.Records = append(news.Records, to.Record)
 	}
-	limit := 4 + 3*bits.Len(uint(len(s.sorted)))
+	limit := 4 + 2*bits.Len(uint(len(s.sorted)))
 	for i := range s.updates {
 		if len(news.Records) == maxNews {
 			break
--- a/core/member/options.go
+++ b/core/member/options.go
@@ -64,6 +64,9 @@
 	// bootstrapPatience is how long a first start waits for listed instances
 	// that do not answer; a listing may still name dead ones.
 	bootstrapPatience = 10 * time.Second
+	// panelEvery is the interval at which a working panel is reviewed, which
+	// takes time in proportion to the fleet.
+	panelEvery = 200 * time.Millisecond
 	// maxNews is the number of records on one message.
 	maxNews = 8
 	// maxFormer bounds the list of former incarnations.
--- a/core/member/panel.go
+++ b/core/member/panel.go
@@ -16,10 +16,15 @@
 // one acknowledge, so that the change does not interrupt the lease.
 func (s *State) maintainPanel(now time.Time, effects *Effects) {
 	s.markUnresponsive(now)
-	s.prospects = nil
 	if s.changing() || !s.contacts.bootstrapped || s.self.Status == Left {
+		s.prospects = nil
+		return
+	}
+	if now.Before(s.panelDue) && len(s.prospects) == 0 {
 		return
 	}
+	s.panelDue = now.Add(panelEvery)
+	s.prospects = nil
 	wanted := s.chooseWitnesses(now)
 	if len(wanted) == 0 || slices.Equal(wanted, s.committed.witnesses) {
 		return
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -6,7 +6,7 @@
 	"galenaridge/core/fleet"
 )
 
-//go:generate ../../.tools/enumer -type=Status,EventKind -transform=kebab -text -yaml=false -output=record_enumer.go
+//go:generate ../../.tools/enumer -type=Status,EventKind -transform=kebab -linecomment -text -yaml=false -output=record_enumer.go
 
 // Status is the stage of life of one incarnation; it only moves forward.
 type Status uint8
@@ -143,9 +143,9 @@
 	// Recovered means that a suspected member was heard again.
 	Recovered
 	// FencedOff means that a member lost its lease for good.
-	FencedOff
+	FencedOff // fenced
 	// Departed means that a member left as planned.
-	Departed
+	Departed // left
 	// ConfigNewer means that a member has a newer document or listing.
 	ConfigNewer
 	// ConfigConflict means that a member has another digest of the same
--- a/core/member/resort.go
+++ b/core/member/resort.go
@@ -34,8 +34,12 @@
 	if since, dropped := s.contacts.missing(e); dropped {
 		return since, true
 	}
-	for _, other := range s.sorted {
-		if other.Member.ID != e.Member.ID || other == e || other.Status.Ended() {
+	first, _ := slices.BinarySearchFunc(s.sorted, fleet.Member{ID: e.Member.ID}, compareEntry)
+	for _, other := range s.sorted[first:] {
+		if other.Member.ID != e.Member.ID {
+			break
+		}
+		if other == e || other.Status.Ended() {
 			continue
 		}
 		newer := other.FirstSeen.After(e.FirstSeen) || other == s.self
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -35,6 +35,7 @@
 	gossipDue    time.Time
 	cleanDue     time.Time
 	resortDue    time.Time
+	panelDue     time.Time
 	// urgent makes the next tick send heartbeats without waiting.
 	urgent bool
 
