--- a/standin/proof/stop.go
+++ b/standin/proof/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -105,6 +106,36 @@
 	return all
 }
 
+// maxCuts bounds the cut requests that a proof describes.
+const maxCuts = 10
+
+// cutLog describes the requests of a caller that were cut.
+type cutLog struct {
+	stage  *stage
+	name   string
+	caller bench.Caller
+
+	mu   sync.Mutex
+	cuts []string
+}
+
+// Do implements bench.Caller.
+func (c *cutLog) Do(ctx context.Context, q client.Request) (client.Result, error) {
+	began := time.Now()
+	result, err := c.caller.Do(ctx, q)
+	if result.Outcome != fleet.Unknown {
+		return result, err
+	}
+	slot, _ := c.stage.slotAt(result.Address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.cuts) < maxCuts {
+		c.cuts = append(c.cuts, fmt.Sprintf("%s: %s %s cut at %s, %s to %s: %s %s %v", c.name, q.Method, q.Service,
+			slot, began.UTC().Format("15:04:05.000"), time.Now().UTC().Format("15:04:05.000"), result.Code, result.Message, err))
+	}
+	return result, err
+}
+
 // proveStop shows that a planned stop cuts no request: every instance is
 // stopped and replaced under load, one after another.
 func proveStop(ctx context.Context, options Options, v *Verdict) error {
@@ -124,7 +155,8 @@
 	defer followers.close()
 	stubborn := s.keepers()
 	defer stubborn.callers[0].wire.close()
-	all := &crowd[bench.Caller]{callers: []bench.Caller{followers, stubborn}}
+	logs := []*cutLog{{stage: s, name: "follower", caller: followers}, {stage: s, name: "keeper", caller: stubborn}}
+	all := &crowd[*cutLog]{callers: logs}
 	loading, stop := context.WithCancel(ctx)
 	defer stop()
 	var failure error
@@ -156,6 +188,11 @@
 	v.check(2*report.Total.Good > report.Total.Offered, "most", "%d good", report.Total.Good)
 	v.note("%d not run, %d stale connections refused, longest stop %s, codes %v",
 		report.Total.NotRun, refused, longest.Round(time.Millisecond), codes(report))
+	for _, log := range logs {
+		for _, cut := range log.cuts {
+			v.note("%s", cut)
+		}
+	}
 	return nil
 }
 
--- a/standin/proof/wire.go
+++ b/standin/proof/wire.go
@@ -30,6 +30,11 @@
 	dialTimeout   = time.Second
 	assignTimeout = time.Second
 	connsPerHost  = 2048
+	// idleLife ends connections that are idle. fasthttp does not notice that an
+	// instance closed one, and would send a later request to its replacement on
+	// it. It is below the time between the end of assignments to an instance
+	// and the closing of its connections (500 ms).
+	idleLife = 250 * time.Millisecond
 )
 
 // unsentError means that no connection was made, so that nothing was sent.
@@ -64,6 +69,7 @@
 		},
 		NoDefaultUserAgentHeader:  true,
 		MaxConnsPerHost:           connsPerHost,
+		MaxIdleConnDuration:       idleLife,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
