--- /dev/null
+++ b/standin/proof/caller/crowd.go
@@ -0,0 +1,52 @@
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"galenaridge/client"
+	"galenaridge/core/fleet"
+)
+
+// Options says how a caller reaches its fleet.
+type Options struct {
+	// Entries are the addresses of all instances.
+	Entries []fleet.Address
+	// Domain is the failure domain whose instances are preferred.
+	Domain fleet.Domain
+	Wire   *Wire
+	// Patience bounds each request on the wire.
+	Patience time.Duration
+	// Stubborn callers keep an assignment for its lifetime even if an instance
+	// asks them to move.
+	Stubborn bool
+	// Seed and Number make the choices of one caller of many repeatable.
+	Seed   uint64
+	Number uint64
+}
+
+func (o Options) random() *rand.Rand { return rand.New(rand.NewPCG(o.Seed, o.Number)) }
+
+// Doer sends one request.
+type Doer interface {
+	Do(ctx context.Context, request client.Request) (client.Result, error)
+}
+
+// Crowd is several callers that take requests in turn.
+type Crowd[C Doer] struct {
+	Callers []C
+
+	mu   sync.Mutex
+	next int
+}
+
+// Do implements bench.Caller.
+func (c *Crowd[C]) Do(ctx context.Context, q client.Request) (client.Result, error) {
+	c.mu.Lock()
+	caller := c.Callers[c.next%len(c.Callers)]
+	c.next++
+	c.mu.Unlock()
+	return caller.Do(ctx, q)
+}
--- a/standin/proof/mix.go
+++ b/standin/proof/mix.go
@@ -6,13 +6,14 @@
 	"galenaridge/bench"
 	"galenaridge/client"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/proof/caller"
 )
 
 // clients is one client of package client for each failure domain.
-type clients struct{ crowd[*client.Client] }
+type clients struct{ caller.Crowd[*client.Client] }
 
 func (c *clients) close() {
-	for _, one := range c.callers {
+	for _, one := range c.Callers {
 		one.Close()
 	}
 }
@@ -26,7 +27,7 @@
 			all.close()
 			return nil, err
 		}
-		all.callers = append(all.callers, one)
+		all.Callers = append(all.Callers, one)
 	}
 	return all, nil
 }
--- a/standin/proof/once.go
+++ b/standin/proof/once.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"galenaridge/bench"
-	"galenaridge/core/fleet"
 	"galenaridge/core/questionnaire"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/proof/caller"
 )
 
 const (
@@ -55,35 +54,36 @@
 		return err
 	}
 	defer s.close()
-	total := account{}
+	total := caller.Account{}
 	struck := 0
 	for _, fault := range onceFaults() {
 		found, count, err := s.strikeHomes(ctx, fault)
 		if err != nil {
 			return err
 		}
-		total.merge(found)
+		total.Merge(found)
 		struck += count
 		v.note("%s: %d homes, %d keys, %d copies, %d done, unknown %d (%.2f%%), codes %v",
-			fault.name, count, found.keys, found.copies, found.done, found.unknown, percent(found.unknown, found.keys), found.codes)
+			fault.name, count, found.Keys, found.Copies, found.Done, found.Unknown, percent(found.Unknown, found.Keys), found.Codes)
 	}
-	v.check(len(total.twice) == 0, "0", "%d keys run more than once", len(total.twice))
-	v.check(len(total.falseNotRun) == 0, "0", "%d false not-run", len(total.falseNotRun))
-	v.check(len(total.falseDone) == 0, "0", "%d done that did not run", len(total.falseDone))
-	v.check(len(total.differing) == 0, "0", "%d keys with two answers", len(total.differing))
-	v.check(2*total.done > total.keys, "most", "%d of %d keys done", total.done, total.keys)
+	v.check(len(total.Twice) == 0, "0", "%d keys run more than once", len(total.Twice))
+	v.check(len(total.FalseNotRun) == 0, "0", "%d false not-run", len(total.FalseNotRun))
+	v.check(len(total.FalseDone) == 0, "0", "%d done that did not run", len(total.FalseDone))
+	v.check(len(total.Differing) == 0, "0", "%d keys with two answers", len(total.Differing))
+	v.check(2*total.Done > total.Keys, "most", "%d of %d keys done", total.Done, total.Keys)
 	v.check(struck >= len(onceFaults()), "one of each kind", "%d faults of homes", struck)
-	if len(total.twice)+len(total.falseNotRun)+len(total.falseDone)+len(total.differing) > 0 {
-		v.note("run twice %v, false not-run %v, false done %v, two answers %v", total.twice, total.falseNotRun, total.falseDone, total.differing)
+	if len(total.Twice)+len(total.FalseNotRun)+len(total.FalseDone)+len(total.Differing) > 0 {
+		v.note("run twice %v, false not-run %v, false done %v, two answers %v", total.Twice, total.FalseNotRun, total.FalseDone, total.Differing)
 	}
 	return nil
 }
 
 // strikeHomes runs a load of repeaters during which the fault meets one home
 // after another.
-func (s *stage) strikeHomes(ctx context.Context, fault onceFault) (account, int, error) {
-	callers, told := s.repeaters()
-	defer callers.callers[0].wire.close()
+func (s *stage) strikeHomes(ctx context.Context, fault onceFault) (caller.Account, int, error) {
+	wire := caller.NewWire(s.fleet.ClientVia())
+	defer wire.Close()
+	callers, told := s.repeaters(wire)
 	kinds := protectedKinds(s.answers)
 	runFor := 20 * time.Second
 	if s.options.Short {
@@ -93,7 +93,7 @@
 	var steps script
 	for at := time.Second; at < runFor; at += fault.every {
 		steps = append(steps, step{at, fault.name + " a home", func(ctx context.Context) error {
-			slot, ok := s.homeOf(callers.callers[struck%repeaters], kinds)
+			slot, ok := s.homeOf(callers.Callers[struck%repeaters], kinds)
 			if !ok {
 				return nil
 			}
@@ -104,43 +104,48 @@
 	_, err := s.load(ctx, bench.Plan{
 		Steps:    []bench.Step{{For: runFor, PerSecond: onceRate}},
 		Mix:      kinds,
-		Deadline: longDelay + 2*patience,
+		Deadline: caller.LongDelay + 2*patience,
 	}, callers, steps)
 	if err != nil {
-		return account{}, 0, err
+		return caller.Account{}, 0, err
 	}
 	runs, err := s.fleet.ServerKeys(ctx)
 	if err != nil {
-		return account{}, 0, err
+		return caller.Account{}, 0, err
 	}
-	return told.verify(runs), struck, s.waitReady(ctx)
+	return told.Verify(runs), struck, s.waitReady(ctx)
 }
 
 // repeaters returns callers that repeat their requests, and their ledger.
-func (s *stage) repeaters() (*crowd[*repeater], *ledger) {
-	told := newLedger()
-	wire := newWire(s.fleet.ClientVia())
-	callers := &crowd[*repeater]{}
+// Every second one does not move when it is asked to.
+func (s *stage) repeaters(wire *caller.Wire) (*caller.Crowd[*caller.Repeater], *caller.Ledger) {
+	told := caller.NewLedger()
+	all := &caller.Crowd[*caller.Repeater]{}
 	for n := range repeaters {
-		s.runs++
-		callers.callers = append(callers.callers, &repeater{
-			entries:  s.fleet.Entries(),
-			domain:   s.deployment.Domains[n%len(s.deployment.Domains)],
-			wire:     wire,
-			ledger:   told,
-			patience: patience,
-			stubborn: n%2 == 1,
-			rng:      rand.New(rand.NewPCG(s.options.Seed, s.runs)),
-			tickets:  map[fleet.ServiceName]*ticket{},
-		})
-	}
-	return callers, told
+		options := s.callerOptions(wire, n)
+		options.Stubborn = n%2 == 1
+		all.Callers = append(all.Callers, caller.NewRepeater(options, told))
+	}
+	return all, told
+}
+
+// callerOptions returns the options of the caller with the number.
+func (s *stage) callerOptions(wire *caller.Wire, number int) caller.Options {
+	s.runs++
+	return caller.Options{
+		Entries:  s.fleet.Entries(),
+		Domain:   s.deployment.Domains[number%len(s.deployment.Domains)],
+		Wire:     wire,
+		Patience: patience,
+		Seed:     s.options.Seed,
+		Number:   s.runs,
+	}
 }
 
 // homeOf returns the slot of the home that a caller uses now.
-func (s *stage) homeOf(caller *repeater, kinds []bench.Kind) (harness.Slot, bool) {
+func (s *stage) homeOf(of *caller.Repeater, kinds []bench.Kind) (harness.Slot, bool) {
 	for _, kind := range kinds {
-		if address, ok := caller.home(kind.Service); ok {
+		if address, ok := of.Home(kind.Service); ok {
 			return s.slotAt(address)
 		}
 	}
--- a/standin/proof/proof_test.go
+++ b/standin/proof/proof_test.go
@@ -12,38 +12,6 @@
 	"galenaridge/standin/harness"
 )
 
-// TestAccount guards against a ledger that overlooks a broken promise.
-func TestAccount(t *testing.T) {
-	done := told{outcome: fleet.Done, status: 200, body: "a"}
-	other := told{outcome: fleet.Done, status: 200, body: "b"}
-	notRun := told{outcome: fleet.NotRun, code: "overloaded"}
-	unknown := told{outcome: fleet.Unknown}
-	tests := []struct {
-		name   string
-		copies []told
-		runs   int
-		want   account
-	}{
-		{"one answer", []told{done, done}, 1, account{done: 1}},
-		{"two runs", []told{done, done}, 2, account{done: 1, twice: []fleet.Key{"k"}}},
-		{"not run is true", []told{notRun, unknown}, 0, account{}},
-		{"not run is false", []told{notRun, done}, 1, account{done: 1, falseNotRun: []fleet.Key{"k"}}},
-		{"done is false", []told{done}, 0, account{done: 1, falseDone: []fleet.Key{"k"}}},
-		{"two answers", []told{done, other}, 1, account{done: 1, differing: []fleet.Key{"k"}}},
-		{"unknown", []told{unknown}, 1, account{unknown: 1}},
-		{"nothing was sent", nil, 0, account{unknown: 1}},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			l := newLedger()
-			l.add("k", test.copies)
-			got := l.verify(map[fleet.Key]int{"k": test.runs})
-			test.want.keys, test.want.copies, test.want.codes = 1, len(test.copies), got.codes
-			assert.Equal(t, test.want, got)
-		})
-	}
-}
-
 // TestVersions guards against a revert or a late instance that the samples
 // show and the proof does not see.
 func TestVersions(t *testing.T) {
--- a/standin/proof/stop.go
+++ b/standin/proof/stop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,96 +11,19 @@
 	"galenaridge/core/fleet"
 	"galenaridge/core/questionnaire"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/proof/caller"
 )
 
 // stopLoad is the share of what the servers bear; a stop must not meet an
 // overload, in which requests may time out.
 const stopLoad = 0.08
 
-// keeper is a caller that keeps an assignment for its whole lifetime, also
-// when an instance asks it to move, and sends each request once.
-type keeper struct {
-	entries []fleet.Address
-	domain  fleet.Domain
-	wire    *wire
-
-	mu      sync.Mutex
-	rng     *rand.Rand
-	tickets map[fleet.ServiceName]*ticket
-	// refused counts connections that were refused.
-	refused int
-}
-
-// Do implements bench.Caller.
-func (k *keeper) Do(_ context.Context, q client.Request) (client.Result, error) {
-	deadline := time.Now().Add(patience)
-	result := client.Result{Outcome: fleet.NotRun, Code: client.Unreachable, Key: q.Key}
-	for range ticketTrials {
-		t := k.ticket(q.Service)
-		if t == nil {
-			continue
-		}
-		token := ""
-		address := k.address(t)
-		if q.Protected {
-			token, address = t.Token, t.home()
-		}
-		sent, _, err := k.wire.send(address, q, token, deadline)
-		if !unsent(err) {
-			return sent, err
-		}
-		k.drop(q.Service, t)
-	}
-	return result, nil
-}
-
-// ticket returns the ticket in use or asks random instances for one.
-func (k *keeper) ticket(service fleet.ServiceName) *ticket {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if t := k.tickets[service]; t != nil && time.Now().Before(t.ends) {
-		return t
-	}
-	for range ticketTrials {
-		t, err := k.wire.assign(k.entries[k.rng.IntN(len(k.entries))], service, k.domain)
-		if err == nil {
-			k.tickets[service] = t
-			return t
-		}
-	}
-	return nil
-}
-
-// address returns a random one of the assigned addresses.
-func (k *keeper) address(t *ticket) fleet.Address {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return t.Addresses[k.rng.IntN(len(t.Addresses))].Address
-}
-
-func (k *keeper) drop(service fleet.ServiceName, old *ticket) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.refused++
-	if k.tickets[service] == old {
-		delete(k.tickets, service)
-	}
-}
-
 // keepers returns one caller that keeps its assignments for each failure
 // domain.
-func (s *stage) keepers() *crowd[*keeper] {
-	wire := newWire(s.fleet.ClientVia())
-	all := &crowd[*keeper]{}
-	for _, domain := range s.deployment.Domains {
-		s.runs++
-		all.callers = append(all.callers, &keeper{
-			entries: s.fleet.Entries(),
-			domain:  domain,
-			wire:    wire,
-			rng:     rand.New(rand.NewPCG(s.options.Seed, s.runs)),
-			tickets: map[fleet.ServiceName]*ticket{},
-		})
+func (s *stage) keepers(wire *caller.Wire) *caller.Crowd[*caller.Keeper] {
+	all := &caller.Crowd[*caller.Keeper]{}
+	for n := range s.deployment.Domains {
+		all.Callers = append(all.Callers, caller.NewKeeper(s.callerOptions(wire, n)))
 	}
 	return all
 }
@@ -113,7 +35,7 @@
 type cutLog struct {
 	stage  *stage
 	name   string
-	caller bench.Caller
+	sender bench.Caller
 
 	mu   sync.Mutex
 	cuts []string
@@ -122,7 +44,7 @@
 // Do implements bench.Caller.
 func (c *cutLog) Do(ctx context.Context, q client.Request) (client.Result, error) {
 	began := time.Now()
-	result, err := c.caller.Do(ctx, q)
+	result, err := c.sender.Do(ctx, q)
 	if result.Outcome != fleet.Unknown {
 		return result, err
 	}
@@ -153,10 +75,11 @@
 		return err
 	}
 	defer followers.close()
-	stubborn := s.keepers()
-	defer stubborn.callers[0].wire.close()
-	logs := []*cutLog{{stage: s, name: "follower", caller: followers}, {stage: s, name: "keeper", caller: stubborn}}
-	all := &crowd[*cutLog]{callers: logs}
+	wire := caller.NewWire(s.fleet.ClientVia())
+	defer wire.Close()
+	stubborn := s.keepers(wire)
+	logs := []*cutLog{{stage: s, name: "follower", sender: followers}, {stage: s, name: "keeper", sender: stubborn}}
+	all := &caller.Crowd[*cutLog]{Callers: logs}
 	loading, stop := context.WithCancel(ctx)
 	defer stop()
 	var failure error
@@ -178,8 +101,8 @@
 		return err
 	}
 	refused := 0
-	for _, k := range stubborn.callers {
-		refused += k.refused
+	for _, k := range stubborn.Callers {
+		refused += k.Refused()
 	}
 	cut := report.Total.Unknown
 	v.check(cut == 0, "0", "%d requests cut of %d", cut, report.Total.Offered)
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -243,3 +243,22 @@
 		})
 	}
 }
+
+// TestBusy guards against a busy time that leaves out requests in progress or
+// counts idle time.
+func TestBusy(t *testing.T) {
+	const mean = 100 * time.Millisecond
+	s, c := start(t, server.Options{Mean: jsontime.Duration(mean)})
+	_, err := get(t.Context(), s, c, "/a")
+	require.NoError(t, err)
+	ended := s.Stats().Busy.Std()
+	assert.GreaterOrEqual(t, ended, mean)
+	time.Sleep(mean / 4)
+	assert.Equal(t, ended, s.Stats().Busy.Std(), "idle")
+	require.NoError(t, s.SetFault(server.Fault{Kind: server.FaultStall}))
+	ctx, cancel := context.WithTimeout(t.Context(), mean)
+	defer cancel()
+	_, err = get(ctx, s, c, "/a")
+	require.Error(t, err)
+	assert.GreaterOrEqual(t, s.Stats().Busy.Std(), ended+mean/2, "in progress or aborted")
+}
