io/platform: tell a platform that is read from one that is silent

A watcher that had just been switched on counted as reading until its first call timed out after 2 s, and the fleet was told so. A platform that only one further instance could reach was then not found. After a failed call the next one was a watch that is held for 20 s, and the watcher counted as failing until it ended.

TestReading failed before the second change; the first has no run without it, since Reading is new.

--- a/io/platform/watcher.go
+++ b/io/platform/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -51,6 +52,8 @@
 	spacing time.Duration
 	link    *link
 	once    *journal.Once
+	// read is when a call last succeeded while the watcher was on.
+	read atomic.Pointer[time.Time]
 	// deliver hands the value to the sink.
 	deliver func(found answer) error
 }
@@ -112,6 +115,21 @@
 	return earliest, !earliest.IsZero()
 }
 
+// Reading reports whether the watcher is on and the latest call for each value
+// succeeded a short time ago. A call that gets no answer at all counts as
+// failed only after its timeout, so "not failing" is not enough.
+func (w *Watcher) Reading() bool {
+	now := w.reader.options.Clock.Now()
+	for _, source := range w.sources {
+		read := source.read.Load()
+		limit := source.wait + source.spacing + w.reader.options.Timeout
+		if _, failing := source.once.FailingSince(); failing || read == nil || now.Sub(*read) > limit {
+			return false
+		}
+	}
+	return true
+}
+
 // Run watches while enabled, until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var wg conc.WaitGroup
@@ -135,6 +153,7 @@
 		cancel()
 		source.link.close()
 		source.once.Forget()
+		source.read.Store(nil)
 	}
 }
 
@@ -172,11 +191,16 @@
 		}
 		if err != nil {
 			source.once.Failed(err)
+			// A plain read is answered at once. A watch would be held, and its
+			// end would be the first sign that the platform works again.
+			after = 0
 			w.sleep(ctx, w.jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		source.once.Succeeded()
+		read := clock.Now()
+		source.read.Store(&read)
 		backoff = minBackoff
 		after = next
 		w.sleep(ctx, source.spacing-clock.Now().Sub(started))
--- a/io/platform/watcher_test.go
+++ b/io/platform/watcher_test.go
@@ -251,3 +251,49 @@
 	stop()
 	require.Equal(t, 2, strings.Count(out.String(), " failed"), out)
 }
+
+// TestReading guards against a watcher that claims to read a platform which
+// gives no answer, so that no other instance tries.
+func TestReading(t *testing.T) {
+	fake, options, _ := newFake(t)
+	hang := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-hang:
+		case <-r.Context().Done():
+		}
+	}))
+	defer silent.Close()
+	defer close(hang)
+	mute := options
+	mute.Base = silent.URL
+	parts := &sink{configs: make(chan Config, 10), lists: make(chan fleet.Listing, 10)}
+	tests := []struct {
+		name    string
+		options Options
+		reading bool
+	}{
+		{"answers", options, true},
+		{"silence", mute, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w, err := NewWatcher(tt.options, parts)
+			require.NoError(t, err)
+			require.False(t, w.Reading())
+			w.Enable(true)
+			defer run(w)()
+			if !tt.reading {
+				require.Never(t, w.Reading, 300*time.Millisecond, 10*time.Millisecond)
+				return
+			}
+			require.Eventually(t, w.Reading, 5*time.Second, time.Millisecond)
+			fake.set(func() { fake.status = http.StatusInternalServerError })
+			require.Eventually(t, func() bool { return !w.Reading() }, 5*time.Second, time.Millisecond)
+			fake.set(func() { fake.status = 0 })
+			require.Eventually(t, w.Reading, 5*time.Second, time.Millisecond)
+			w.Enable(false)
+			require.Eventually(t, func() bool { return !w.Reading() }, 5*time.Second, time.Millisecond)
+		})
+	}
+}
--- a/io/process/adapters.go
+++ b/io/process/adapters.go
@@ -137,10 +137,10 @@
 	}
 }
 
-// reading reports whether the latest calls to an address succeeded.
+// reading reports whether an address of the platform can be read.
 func (w watchers) reading() bool {
 	for _, one := range w {
-		if _, failing := one.FailingSince(); !failing {
+		if one.Reading() {
 			return true
 		}
 	}
