--- a/io/caller/gate.go
+++ b/io/caller/gate.go
@@ -9,12 +9,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// busyBody is the refusal of a connection above the limit.
-const busyBody = `{"code":"overloaded","outcome":"not-run","retry":true,"after_ms":1000,"message":"too many connections"}`
+// busyBody is the refusal of a connection above the limit. The request is not
+// read, and another copy of it may have run.
+const busyBody = `{"code":"overloaded","outcome":"unknown","retry":false,"after_ms":1000,"message":"too many connections"}`
 
 // busy is the whole answer to a connection above the limit.
 var busy = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: application/json\r\n" +
-	"Galenaridge-Outcome: not-run\r\nRetry-After: 1\r\nContent-Length: " + strconv.Itoa(len(busyBody)) + "\r\n\r\n" + busyBody)
+	"Galenaridge-Outcome: unknown\r\nRetry-After: 1\r\nContent-Length: " + strconv.Itoa(len(busyBody)) + "\r\n\r\n" + busyBody)
 
 // gate is a listener that bounds the open connections.
 type gate struct {
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -348,7 +348,8 @@
 	require.Error(t, err)
 }
 
-// TestConnLimit guards against callers that use up all descriptors.
+// TestConnLimit guards against callers that use up all descriptors, and against
+// "not run" for a request that was not read and may be a copy.
 func TestConnLimit(t *testing.T) {
 	_, address := start(t, func(context.Context, exchange.Request, string) Result { return done("x") }, func(o *Options) { o.Conns = 1 })
 	first := dial(t, address)
@@ -358,6 +359,7 @@
 	got := second.receive(t, "GET")
 	require.Equal(t, 503, got.status)
 	require.Contains(t, got.body, "too many connections")
+	require.Equal(t, "unknown", got.header.Get("Galenaridge-Outcome"))
 	first.Close()
 	require.Eventually(t, func() bool {
 		third := dial(t, address)
