core/traffic: ask owners without slots last

An owner that had just said that it has no slots was asked first again, although others had not been tried.

--- /dev/null
+++ b/core/traffic/assign_test.go
@@ -0,0 +1,132 @@
+package traffic_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/config"
+	"galenaridge/core/control"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/member"
+)
+
+// join makes the instances known as active members and as owners of servers in
+// their failure domains.
+func (f *fake) join(t *testing.T, owners []control.Owner) {
+	t.Helper()
+	now := f.clock.Now()
+	members := member.New(now, member.Options{ID: "self", Domain: "d", Peer: "self", Random: counter{}})
+	records := []member.Record{}
+	for _, owner := range owners {
+		records = append(records, member.Record{Member: owner.Member, Domain: owner.Domain, Status: member.Active})
+	}
+	members.Learn(now, records)
+	changed := *f.view.Services[svc]
+	changed.Owners = owners
+	view := without(f.view, &changed)
+	view.Members = members.View()
+	f.set(view)
+}
+
+// counter is a Random whose numbers are never zero.
+type counter struct{}
+
+func (counter) Uint64() uint64 { return incarnations.Add(1) }
+
+func owner(id fleet.InstanceID, domain fleet.Domain) control.Owner {
+	return control.Owner{Member: fleet.Member{ID: id, Incarnation: 1}, Domain: domain, Caller: fleet.Address(id), Servers: 1}
+}
+
+// TestAssign guards against assignments that name far owners before near ones,
+// more than three, or a first address that did not issue the token.
+func TestAssign(t *testing.T) {
+	near, far := owner("near", "d"), owner("far", "e")
+	tests := []struct {
+		name   string
+		owners []control.Owner
+		mints  map[fleet.InstanceID]bool
+		places []fleet.Address
+		code   exchange.Code
+	}{
+		{"near first", []control.Owner{far, near}, map[fleet.InstanceID]bool{"near": true}, []fleet.Address{"near", "far"}, ""},
+		{"first gives no token", []control.Owner{far, near}, map[fleet.InstanceID]bool{"far": true}, []fleet.Address{"far", "near"}, ""},
+		{"none gives a token", []control.Owner{far, near}, nil, nil, exchange.NoCapacity},
+		{"no owners", nil, nil, nil, exchange.NoCapacity},
+		{
+			"at most three",
+			[]control.Owner{near, owner("b", "d"), owner("c", "d"), owner("e", "d")},
+			map[fleet.InstanceID]bool{"near": true},
+			[]fleet.Address{"near", "b", "c"},
+			"",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, nil)
+			f.join(t, tt.owners)
+			f.mints = tt.mints
+			got, refusal := f.engine.Assign(context.Background(), svc, "d")
+			assert.Equal(t, tt.code, refusal.Code)
+			var places []fleet.Address
+			for _, place := range got.Places {
+				places = append(places, place.Address)
+			}
+			assert.Equal(t, tt.places, places)
+			if refusal.Code == "" {
+				assert.Equal(t, "token of "+string(places[0]), string(got.Token))
+				assert.Equal(t, 5*time.Second, got.Life)
+			}
+		})
+	}
+}
+
+// TestAssignRefused guards against assignments without a configuration.
+func TestAssignRefused(t *testing.T) {
+	f := start(t, nil)
+	_, refusal := f.engine.Assign(context.Background(), "other", "d")
+	require.Equal(t, exchange.NoService, refusal.Code)
+	changed := *f.view
+	changed.Config = config.NewState().View()
+	f.set(&changed)
+	_, refusal = f.engine.Assign(context.Background(), svc, "d")
+	require.Equal(t, exchange.NotReady, refusal.Code)
+}
+
+// TestChoice guards against work for a loaded owner while this instance or
+// another owner has free slots, and for one that could not be reached.
+func TestChoice(t *testing.T) {
+	done := exchange.Response{Outcome: fleet.Done, Status: 200}
+	tests := []struct {
+		name    string
+		servers []fleet.ServerID
+		// before is what the owner a answers first.
+		before    exchange.Response
+		delivered bool
+		asked     []fleet.InstanceID
+	}{
+		{"own slots are free", []fleet.ServerID{"1"}, done, true, nil},
+		{"unknown load", nil, done, true, []fleet.InstanceID{"a", "a"}},
+		{"not reached", nil, exchange.Response{}, false, []fleet.InstanceID{"a", "b", "b"}},
+		{"owns no slot", nil, exchange.Refuse(exchange.NoCapacity, ""), true, []fleet.InstanceID{"a", "b", "b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, tt.servers, "a", "b")
+			f.execute = func(to member.Peer) (exchange.Response, bool) {
+				if to.Member.ID == "a" {
+					return tt.before, tt.delivered
+				}
+				return done, true
+			}
+			for range 2 {
+				assert.Equal(t, fleet.Done, f.serve("POST").Outcome)
+			}
+			assert.Equal(t, tt.asked, f.asked)
+		})
+	}
+}
--- a/core/traffic/run.go
+++ b/core/traffic/run.go
@@ -150,22 +150,29 @@
 const otherDomainCost = 0.25
 
 // anyOwner returns the first owner, from a random start, that can be tried.
+// Those that said that they have no slots come last.
 func (e *Engine) anyOwner(service *control.Service, self member.Info, tried []fleet.InstanceID, now time.Time) (control.Owner, bool) {
 	count := len(service.Owners)
 	if count == 0 {
 		return control.Owner{}, false
 	}
+	var last control.Owner
+	found := false
 	start := e.options.Random.IntN(count)
 	for i := range count {
 		owner := service.Owners[(start+i)%count]
 		if owner.Member.ID == self.Member.ID || contains(tried, owner.Member.ID) {
 			continue
 		}
-		if e.loads.cost(service.Config.Name, owner.Member.ID, now) < avoidCost {
+		cost := e.loads.cost(service.Config.Name, owner.Member.ID, now)
+		if cost < avoidCost/2 {
 			return owner, true
 		}
+		if !found && cost < avoidCost {
+			last, found = owner, true
+		}
 	}
-	return control.Owner{}, false
+	return last, found
 }
 
 func contains(tried []fleet.InstanceID, id fleet.InstanceID) bool {
