--- a/core/control/effects.go
+++ b/core/control/effects.go
@@ -130,6 +130,7 @@
 		if s := n.services[name]; s != nil {
 			s.steward = floor.NewSteward(s.config.Floor)
 			s.steward.Become(now)
+			s.dirty = true
 		}
 		return
 	}
--- a/core/control/node.go
+++ b/core/control/node.go
@@ -23,8 +23,10 @@
 	services map[fleet.ServiceName]*service
 	// servers maps each listed server of a configured service to its entry.
 	servers map[fleet.ServerID]fleet.ListedServer
-	listing fleet.Listing
-	history listing.History
+	// published is the map of services in the last view.
+	published map[fleet.ServiceName]*Service
+	listing   fleet.Listing
+	history   listing.History
 
 	self       fleet.Member
 	generation uint64
@@ -136,17 +138,13 @@
 }
 
 func (n *node) publish(now time.Time) *View {
-	services := make(map[fleet.ServiceName]*Service, len(n.services))
-	for name, s := range n.services {
-		services[name] = s.publish()
-	}
 	return &View{
 		Members:    n.members.View(),
 		Owners:     n.owners.View(),
 		Config:     n.config.View(),
 		Listing:    n.listing,
 		History:    n.history,
-		Services:   services,
+		Services:   n.publishServices(),
 		ConfigAt:   n.configAt,
 		ListingAt:  n.listingAt,
 		PlatformAt: n.platformAt,
@@ -155,3 +153,20 @@
 		Behind:     n.behind(now),
 	}
 }
+
+// publishServices returns all services, in the same map as before while none
+// of them changed.
+func (n *node) publishServices() map[fleet.ServiceName]*Service {
+	same := len(n.published) == len(n.services)
+	for name, s := range n.services {
+		same = same && !s.dirty && s.published != nil && n.published[name] == s.published
+	}
+	if same && n.published != nil {
+		return n.published
+	}
+	n.published = make(map[fleet.ServiceName]*Service, len(n.services))
+	for name, s := range n.services {
+		n.published[name] = s.publish()
+	}
+	return n.published
+}
--- a/core/control/service.go
+++ b/core/control/service.go
@@ -34,8 +34,18 @@
 	reporting  bool
 	dirty      bool
 	published  *Service
+	// republishAt is when the service is published again though no command
+	// has changed it.
+	republishAt time.Time
+	// started counts the attempts on held servers as of the last tick.
+	started uint64
 }
 
+// republishEvery bounds the age of what changes by time alone, such as latencies
+// that leave their window. A publication on each tick copied all services 20
+// times a second though nothing had changed.
+const republishEvery = time.Second
+
 func newService(n *node, now time.Time, configured config.Service) *service {
 	return &service{
 		config:     configured,
@@ -70,7 +80,10 @@
 }
 
 // rejoin starts the permits anew, because they belong to an incarnation.
-func (s *service) rejoin(self fleet.Member) { s.permits = floor.NewHolder(self) }
+func (s *service) rejoin(self fleet.Member) {
+	s.permits = floor.NewHolder(self)
+	s.dirty = true
+}
 
 // setListed takes the servers that the platform lists for the service.
 func (s *service) setListed(now time.Time, listed []fleet.ListedServer) {
@@ -113,17 +126,18 @@
 	s.pool.Expire(now)
 	if s.steward != nil {
 		s.steward.Extend(n.members.View().LeaseUntil())
-		s.steward.Tick(now)
+		if len(s.steward.Tick(now)) > 0 {
+			s.dirty = true
+		}
+	}
+	if !now.Before(s.republishAt) {
+		s.republishAt = now.Add(republishEvery)
 		s.dirty = true
 	}
 	if len(s.held) == 0 {
 		return
 	}
-	readings := make([]health.Reading, 0, len(s.held))
-	for id, owned := range s.held {
-		readings = append(readings, health.Reading{Server: id, Snapshot: owned.Counters.Snapshot(now)})
-	}
-	slices.SortFunc(readings, func(a, b health.Reading) int { return cmp.Compare(a.Server, b.Server) })
+	readings := s.readings(now)
 	n.runHealth(now, s, s.health.Observe(now, readings, s.taking()))
 	n.applyPermits(now, s, s.permits.Tick(now))
 	if n.lease && !s.reporting && (s.wishing || now.Sub(s.reportedAt) >= reportEvery) {
@@ -132,6 +146,25 @@
 	s.noteConditions(n)
 }
 
+// readings returns the counters of the held servers in order of id, and notes
+// whether any of them has work.
+func (s *service) readings(now time.Time) []health.Reading {
+	readings := make([]health.Reading, 0, len(s.held))
+	started, inFlight := uint64(0), 0
+	for id, owned := range s.held {
+		snapshot := owned.Counters.Snapshot(now)
+		started += snapshot.Started
+		inFlight += snapshot.InFlight
+		readings = append(readings, health.Reading{Server: id, Snapshot: snapshot})
+	}
+	if started != s.started || inFlight > 0 {
+		s.started = started
+		s.dirty = true
+	}
+	slices.SortFunc(readings, func(a, b health.Reading) int { return cmp.Compare(a.Server, b.Server) })
+	return readings
+}
+
 // taking counts the servers of the service that take work, as far as known
 // here.
 func (s *service) taking() fleet.Servers {
@@ -153,6 +186,10 @@
 func (s *service) noteConditions(n *node) {
 	changed := false
 	for _, status := range s.health.Publish().All() {
+		if status.Condition != health.Healthy {
+			// Its badness and its permit change without a change of condition.
+			s.dirty = true
+		}
 		before := s.conditions[status.Server]
 		if before == status.Condition {
 			continue
@@ -164,7 +201,6 @@
 	if changed {
 		s.updatePool()
 	}
-	s.dirty = true
 }
 
 // updatePool tells the pool which servers may be used, and how.
