--- a/standin/proof/config.go
+++ b/standin/proof/config.go
@@ -12,6 +12,7 @@
 	"galenaridge/io/document"
 	"galenaridge/standin/harness"
 	"galenaridge/standin/platform"
+	"galenaridge/standin/proof/observe"
 )
 
 const (
@@ -31,7 +32,7 @@
 type configProof struct {
 	*stage
 	verdict *Verdict
-	seen    *versions
+	seen    *observe.Versions
 	// published holds each version that was published, in order.
 	published int
 	slowest   time.Duration
@@ -46,8 +47,8 @@
 		return err
 	}
 	defer s.close()
-	p := &configProof{stage: s, verdict: v, seen: newVersions(options.Instances)}
-	sampling := s.sample(ctx, p.seen.take)
+	p := &configProof{stage: s, verdict: v, seen: observe.NewVersions(options.Instances)}
+	sampling := s.sample(ctx, p.seen.Take)
 	defer sampling.stop()
 	for _, part := range []struct {
 		name string
@@ -68,8 +69,9 @@
 	sampling.stop()
 	v.check(p.late == 0, "in force everywhere", "%d of %d versions never in force everywhere", p.late, p.published)
 	v.timing(p.slowest <= forceTarget, "<= 3s", "slowest version in force after %s", p.slowest.Round(10*time.Millisecond))
-	v.check(len(p.seen.reverts) == 0, "0", "%d reverts in %d samples", len(p.seen.reverts), p.seen.samples)
-	for _, revert := range p.seen.reverts[:min(len(p.seen.reverts), 10)] {
+	reverts, samples := p.seen.Reverts()
+	v.check(len(reverts) == 0, "0", "%d reverts in %d samples", len(reverts), samples)
+	for _, revert := range reverts[:min(len(reverts), 10)] {
 		v.note("%s", revert)
 	}
 	return p.countCalls(ctx)
@@ -139,14 +141,14 @@
 func (p *configProof) awaitForce(ctx context.Context, at time.Time, version fleet.Version) {
 	p.published++
 	err := p.await(ctx, forceLimit, "the version is in force everywhere", func() bool {
-		_, full := p.seen.fullAt(version)
+		_, full := p.seen.FullAt(version)
 		return full
 	})
 	if err != nil {
 		p.late++
 		return
 	}
-	full, _ := p.seen.fullAt(version)
+	full, _ := p.seen.FullAt(version)
 	p.slowest = max(p.slowest, full.Sub(at))
 }
 
@@ -221,7 +223,7 @@
 		return err
 	}
 	sleep(ctx, 2*time.Second)
-	version, digests := p.seen.inForce()
+	version, digests := p.seen.InForce()
 	p.verdict.check(version == before && digests == 1, "same", "version %d before and %d after %d were replaced", before, version, len(slots))
 	if err := p.fleet.SetPlatformFault(ctx, platform.Fault{}); err != nil {
 		return err
@@ -258,7 +260,7 @@
 			return err
 		}
 		sleep(ctx, hold)
-		if version, digests := p.seen.inForce(); version != before.Version || digests != 1 {
+		if version, digests := p.seen.InForce(); version != before.Version || digests != 1 {
 			adopted++
 		}
 	}
@@ -317,12 +319,12 @@
 		}
 	}
 	sleep(ctx, time.Second)
-	_, digests := p.seen.inForce()
+	_, digests := p.seen.InForce()
 	p.verdict.note("%d documents of one version in force after a conflict", digests)
 	if err := p.publishNext(ctx); err != nil {
 		return err
 	}
-	_, digests = p.seen.inForce()
+	_, digests = p.seen.InForce()
 	p.verdict.check(digests == 1, "1", "%d documents in force after the next version", digests)
 	return nil
 }
--- a/standin/proof/floor.go
+++ b/standin/proof/floor.go
@@ -13,6 +13,7 @@
 	"galenaridge/core/questionnaire"
 	"galenaridge/io/operator"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/proof/observe"
 	"galenaridge/standin/server"
 )
 
@@ -125,12 +126,12 @@
 		return err
 	}
 	sampling.stop()
-	journals := newJournals(s.fleet)
-	if err := journals.read(); err != nil {
+	journals := observe.NewJournals(s.fleet)
+	if err := journals.Read(); err != nil {
 		return err
 	}
 	judgeSamples(v, out, samples)
-	judgeTimeline(v, out, timeline(journals.all, out))
+	judgeTimeline(v, out, timeline(journals.Changes(), out))
 	v.note("floor %d of %d servers, %d requests of the service's callers, %d good", out.floor, out.total, report.Total.Offered, report.Total.Good)
 	return nil
 }
@@ -200,34 +201,34 @@
 
 // timeline returns the union of ejected servers after each change, from the
 // exact times of the logs.
-func timeline(changes []change, out *outOfUse) []floorSample {
+func timeline(changes []observe.Change, out *outOfUse) []floorSample {
 	owners := map[fleet.ServerID]harness.Slot{}
 	var all []floorSample
 	for _, c := range changes {
 		changed := false
 		switch {
-		case c.server != "" && isOf(c.server, out.service):
-			if !out.isLost(c.server) && (c.after == health.Ejected.String() || c.after == health.Trial.String()) {
-				owners[c.server] = c.slot
-			} else if owners[c.server] == c.slot {
-				delete(owners, c.server)
+		case c.Server != "" && isOf(c.Server, out.service):
+			if !out.isLost(c.Server) && (c.After == health.Ejected.String() || c.After == health.Trial.String()) {
+				owners[c.Server] = c.Slot
+			} else if owners[c.Server] == c.Slot {
+				delete(owners, c.Server)
 			}
 			changed = true
-		case c.restarted:
+		case c.Restarted:
 			for id, slot := range owners {
-				if slot == c.slot {
+				if slot == c.Slot {
 					delete(owners, id)
 				}
 			}
 		default:
-			for _, id := range c.gone {
-				if owners[id] == c.slot {
+			for _, id := range c.Gone {
+				if owners[id] == c.Slot {
 					delete(owners, id)
 				}
 			}
 		}
 		if changed {
-			all = append(all, floorSample{c.at, keysOf(owners)})
+			all = append(all, floorSample{c.At, keysOf(owners)})
 		}
 	}
 	return all
--- a/standin/proof/gray.go
+++ b/standin/proof/gray.go
@@ -15,6 +15,7 @@
 	"galenaridge/io/operator"
 	"galenaridge/standin/harness"
 	"galenaridge/standin/jsontime"
+	"galenaridge/standin/proof/observe"
 	"galenaridge/standin/server"
 )
 
@@ -69,7 +70,7 @@
 
 // watch follows states and logs of all instances.
 type watch struct {
-	journals *journals
+	journals *observe.Journals
 
 	mu     sync.Mutex
 	states map[harness.Slot]operator.InstanceState
@@ -78,7 +79,7 @@
 }
 
 func newWatch(s *stage) *watch {
-	return &watch{journals: newJournals(s.fleet), ejected: map[fleet.ServerID]time.Time{}}
+	return &watch{journals: observe.NewJournals(s.fleet), ejected: map[fleet.ServerID]time.Time{}}
 }
 
 // take adds a sample.
@@ -105,8 +106,8 @@
 // out returns when a server was first out after a time: by the logs, or by
 // the samples if the logs do not say.
 func (w *watch) out(id fleet.ServerID, after time.Time) (time.Time, bool) {
-	if c, found := w.journals.firstOut(id, after); found {
-		return c.at, true
+	if c, found := w.journals.FirstOut(id, after); found {
+		return c.At, true
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -249,7 +250,7 @@
 	var at time.Time
 	var failure error
 	err := s.await(ctx, grayLimit, string(target.server)+" is out", func() bool {
-		if failure = w.journals.read(); failure != nil {
+		if failure = w.journals.Read(); failure != nil {
 			return true
 		}
 		var found bool
--- a/standin/proof/membership.go
+++ b/standin/proof/membership.go
@@ -1,22 +1,17 @@
 package proof
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"galenaridge/core/fleet"
 	"galenaridge/core/member"
 	"galenaridge/io/operator"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/proof/observe"
 )
 
 const (
@@ -25,8 +20,6 @@
 	// agreeTarget is how long the others may take to agree after kills.
 	agreeTarget = 10 * time.Second
 	agreeLimit  = time.Minute
-	// ticksPerSecond is the unit of CPU times in /proc, fixed on Linux.
-	ticksPerSecond = 100
 )
 
 // usage is what one instance consumed since its start.
@@ -124,10 +117,10 @@
 			return nil, err
 		}
 		u := usage{
-			sent:     metric(text, "galenaridge_control_sent_bytes"),
-			received: metric(text, "galenaridge_control_received_bytes"),
+			sent:     observe.Metric(text, "galenaridge_control_sent_bytes"),
+			received: observe.Metric(text, "galenaridge_control_received_bytes"),
 		}
-		if u.cpu, u.memory, err = processUsage(id); err != nil {
+		if u.cpu, u.memory, err = observe.ProcessUsage(id); err != nil {
 			return nil, err
 		}
 		all[slot] = u
@@ -135,37 +128,6 @@
 	return all, nil
 }
 
-// metric returns the value of a metric without labels, or 0.
-func metric(text []byte, name string) float64 {
-	lines := bufio.NewScanner(bytes.NewReader(text))
-	for lines.Scan() {
-		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
-			number, _ := strconv.ParseFloat(strings.TrimSpace(value), 64)
-			return number
-		}
-	}
-	return 0
-}
-
-// processUsage returns the CPU time and the resident memory in bytes of a
-// process, from /proc.
-func processUsage(id int) (time.Duration, int64, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
-	if err != nil {
-		return 0, 0, eris.Wrap(err, "read the usage of a process")
-	}
-	// The name of the program, in parentheses, may hold spaces.
-	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
-	const userTime, systemTime, residentPages = 11, 12, 21
-	if len(fields) <= residentPages {
-		return 0, 0, eris.Errorf("the usage of process %d has %d fields", id, len(fields))
-	}
-	user, _ := strconv.ParseInt(fields[userTime], 10, 64)
-	system, _ := strconv.ParseInt(fields[systemTime], 10, 64)
-	pages, _ := strconv.ParseInt(fields[residentPages], 10, 64)
-	return time.Duration(user+system) * time.Second / ticksPerSecond, pages * int64(os.Getpagesize()), nil
-}
-
 // killAndAgree kills some instances and returns how long the others take to
 // agree on the members. It restarts the killed ones.
 func (s *stage) killAndAgree(ctx context.Context, kills int) (time.Duration, error) {
--- a/standin/proof/noise.go
+++ b/standin/proof/noise.go
@@ -67,10 +67,10 @@
 		return err
 	}
 	ended := time.Now()
-	if err := w.journals.read(); err != nil {
+	if err := w.journals.Read(); err != nil {
 		return err
 	}
-	ejections := w.journals.ejections(began, ended)
+	ejections := w.journals.Ejections(began, ended)
 	hours := ended.Sub(began).Hours() * float64(len(s.fleet.Servers()))
 	target := "few"
 	if s.answers.Detect == fleet.Careful {
@@ -79,7 +79,7 @@
 	v.timing(len(ejections) == 0 || s.answers.Detect == fleet.Fast, target,
 		"%d false ejections in %.2f server-hours of noise (%.1f an hour)", len(ejections), hours, float64(len(ejections))/hours)
 	for _, e := range ejections[:min(len(ejections), 10)] {
-		v.note("%s ejected as %s %.2fs after the start of the noise", e.server, e.reason, e.at.Sub(began).Seconds())
+		v.note("%s ejected as %s %.2fs after the start of the noise", e.Server, e.Reason, e.At.Sub(began).Seconds())
 	}
 	v.check(2*report.Total.Good > report.Total.Offered, "most", "%d of %d requests good in noise", report.Total.Good, report.Total.Offered)
 	return nil
--- a/standin/proof/journal.go
+++ b/standin/proof/observe/journal.go
@@ -1,4 +1,4 @@
-package proof
+package observe
 
 import (
 	"bytes"
@@ -21,25 +21,25 @@
 	startMessage     = "instance started"
 )
 
-// change is one line of the log of an instance about its servers.
-type change struct {
-	at   time.Time
-	slot harness.Slot
-	// server is set if the condition of a server changed.
-	server fleet.ServerID
-	before string
-	after  string
-	reason string
-	// gone lists servers that the instance gave up.
-	gone []fleet.ServerID
-	// restarted is set if the process of the instance is new.
-	restarted bool
+// Change is one line of the log of an instance about its servers.
+type Change struct {
+	At   time.Time
+	Slot harness.Slot
+	// Server is set if the condition of a server changed.
+	Server fleet.ServerID
+	Before string
+	After  string
+	Reason string
+	// Gone lists servers that the instance gave up.
+	Gone []fleet.ServerID
+	// Restarted is set if the process of the instance is new.
+	Restarted bool
 }
 
-// out reports whether a server got no work after the change, because it was
+// Out reports whether a server got no work after the change, because it was
 // ejected or given up by its owner.
-func (c change) out(server fleet.ServerID) bool {
-	return c.server == server && c.after == health.Ejected.String() || slices.Contains(c.gone, server)
+func (c Change) Out(server fleet.ServerID) bool {
+	return c.Server == server && c.After == health.Ejected.String() || slices.Contains(c.Gone, server)
 }
 
 // line is a log line as instances write it.
@@ -54,31 +54,32 @@
 	Lost    []fleet.Resource `json:"lost"`
 }
 
-// journals reads the logs of all instances as they grow. Their times are
+// Journals reads the logs of all instances as they grow. Their times are
 // exact, whereas samples of states are up to one interval late.
-type journals struct {
+type Journals struct {
 	fleet   *harness.Fleet
 	offsets map[harness.Slot]int64
-	all     []change
+	all     []Change
 }
 
-func newJournals(f *harness.Fleet) *journals {
-	return &journals{fleet: f, offsets: map[harness.Slot]int64{}}
+// NewJournals returns journals of which nothing is read yet.
+func NewJournals(f *harness.Fleet) *Journals {
+	return &Journals{fleet: f, offsets: map[harness.Slot]int64{}}
 }
 
-// read reads what was written since the last call.
-func (j *journals) read() error {
+// Read reads what was written since the last call.
+func (j *Journals) Read() error {
 	files := j.fleet.LogFiles()
 	for _, slot := range j.fleet.Slots() {
 		if err := j.readOne(slot, files[string(slot)]); err != nil {
 			return err
 		}
 	}
-	slices.SortStableFunc(j.all, func(a, b change) int { return a.at.Compare(b.at) })
+	slices.SortStableFunc(j.all, func(a, b Change) int { return a.At.Compare(b.At) })
 	return nil
 }
 
-func (j *journals) readOne(slot harness.Slot, name string) error {
+func (j *Journals) readOne(slot harness.Slot, name string) error {
 	file, err := os.Open(name)
 	if err != nil {
 		return err
@@ -103,44 +104,47 @@
 }
 
 // parse returns the change that a line reports, if any.
-func parse(slot harness.Slot, text []byte) (change, bool) {
+func parse(slot harness.Slot, text []byte) (Change, bool) {
 	var l line
 	if json.Unmarshal(text, &l) != nil {
-		return change{}, false
+		return Change{}, false
 	}
-	c := change{at: l.Time, slot: slot}
+	c := Change{At: l.Time, Slot: slot}
 	switch l.Message {
 	case conditionMessage:
-		c.server, c.before, c.after, c.reason = l.Server, l.Before, l.After, l.Reason
+		c.Server, c.Before, c.After, c.Reason = l.Server, l.Before, l.After, l.Reason
 	case ownershipMessage:
 		for _, resource := range append(l.Stopped, l.Lost...) {
 			if id, ok := strings.CutPrefix(string(resource), string(fleet.ServerResource(""))); ok {
-				c.gone = append(c.gone, fleet.ServerID(id))
+				c.Gone = append(c.Gone, fleet.ServerID(id))
 			}
 		}
 	case startMessage:
-		c.restarted = true
+		c.Restarted = true
 	default:
-		return change{}, false
+		return Change{}, false
 	}
 	return c, true
 }
 
-// firstOut returns when a server was first out after a time.
-func (j *journals) firstOut(server fleet.ServerID, after time.Time) (change, bool) {
+// Changes returns all changes that were read, in order of their times.
+func (j *Journals) Changes() []Change { return slices.Clone(j.all) }
+
+// FirstOut returns when a server was first out after a time.
+func (j *Journals) FirstOut(server fleet.ServerID, after time.Time) (Change, bool) {
 	for _, c := range j.all {
-		if c.at.After(after) && c.out(server) {
+		if c.At.After(after) && c.Out(server) {
 			return c, true
 		}
 	}
-	return change{}, false
+	return Change{}, false
 }
 
-// ejections returns the ejections between two times.
-func (j *journals) ejections(from, to time.Time) []change {
-	var found []change
+// Ejections returns the ejections between two times.
+func (j *Journals) Ejections(from, to time.Time) []Change {
+	var found []Change
 	for _, c := range j.all {
-		if c.after == health.Ejected.String() && c.before != health.Trial.String() && c.at.After(from) && c.at.Before(to) {
+		if c.After == health.Ejected.String() && c.Before != health.Trial.String() && c.At.After(from) && c.At.Before(to) {
 			found = append(found, c)
 		}
 	}
--- /dev/null
+++ b/standin/proof/observe/observe_test.go
@@ -0,0 +1,78 @@
+package observe
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"galenaridge/core/fleet"
+	"galenaridge/io/operator"
+	"galenaridge/standin/harness"
+)
+
+// TestVersions guards against a revert or a late instance that the samples
+// show and the proof does not see.
+func TestVersions(t *testing.T) {
+	type seen map[harness.Slot]fleet.Version
+	tests := []struct {
+		name    string
+		samples []seen
+		reverts int
+		full    fleet.Version
+	}{
+		{"in force everywhere", []seen{{"i1": 1, "i2": 1}, {"i1": 2, "i2": 2}}, 0, 2},
+		{"one is behind", []seen{{"i1": 2, "i2": 1}}, 0, 1},
+		{"one does not answer", []seen{{"i1": 2}}, 0, 0},
+		{"one goes back", []seen{{"i1": 2, "i2": 2}, {"i1": 1, "i2": 2}}, 1, 2},
+		{"all go back", []seen{{"i1": 2, "i2": 2}, {"i1": 1, "i2": 1}}, 3, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := NewVersions(2)
+			for n, sample := range test.samples {
+				states := map[harness.Slot]operator.InstanceState{}
+				for slot, version := range sample {
+					states[slot] = operator.InstanceState{
+						Instance: operator.Instance{ID: fleet.InstanceID(slot)},
+						Config:   operator.Config{Version: version},
+					}
+				}
+				w.Take(time.Unix(int64(n), 0), states)
+			}
+			assert.Len(t, w.reverts, test.reverts)
+			_, full := w.FullAt(test.full)
+			assert.Equal(t, test.full > 0, full)
+			_, more := w.FullAt(test.full + 1)
+			assert.False(t, more)
+		})
+	}
+}
+
+// TestParse guards against log lines that the detection times are read from
+// and that are not understood.
+func TestParse(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		out  bool
+		ok   bool
+	}{
+		{"ejected", `{"time":"2026-01-01T00:00:01.5Z","msg":"server condition changed","server":"s-1","before":"suspect","after":"ejected","reason":"stalled"}`, true, true},
+		{"suspect", `{"time":"2026-01-01T00:00:01.5Z","msg":"server condition changed","server":"s-1","before":"healthy","after":"suspect"}`, false, true},
+		{"given up", `{"time":"2026-01-01T00:00:01.5Z","msg":"ownership changed","acquired":null,"stopped":["server/s-1"],"lost":null}`, true, true},
+		{"acquired", `{"time":"2026-01-01T00:00:01.5Z","msg":"ownership changed","acquired":["server/s-1"],"stopped":null,"lost":null}`, false, true},
+		{"other", `{"time":"2026-01-01T00:00:01.5Z","msg":"member joined"}`, false, false},
+		{"no log line", "panic: x", false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, ok := parse("i1", []byte(test.text))
+			assert.Equal(t, test.ok, ok)
+			assert.Equal(t, test.out, c.Out("s-1"))
+			if ok {
+				assert.Equal(t, 1500*time.Millisecond, c.At.Sub(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)))
+			}
+		})
+	}
+}
--- a/standin/proof/versions.go
+++ b/standin/proof/observe/versions.go
@@ -1,7 +1,8 @@
-package proof
+package observe
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,8 +11,8 @@
 	"galenaridge/standin/harness"
 )
 
-// versions follows which configuration is in force, from samples.
-type versions struct {
+// Versions follows which configuration is in force, from samples.
+type Versions struct {
 	mu      sync.Mutex
 	highest fleet.Version
 	last    map[fleet.Member]fleet.Version
@@ -23,16 +24,17 @@
 	reverts   []string
 }
 
-func newVersions(slots int) *versions {
-	return &versions{
+// NewVersions returns versions of a fleet with the number of slots.
+func NewVersions(slots int) *Versions {
+	return &Versions{
 		last:      map[fleet.Member]fleet.Version{},
 		firstFull: map[fleet.Version]time.Time{},
 		slots:     slots,
 	}
 }
 
-// take adds a sample.
-func (w *versions) take(at time.Time, states map[harness.Slot]operator.InstanceState) {
+// Take adds a sample.
+func (w *Versions) Take(at time.Time, states map[harness.Slot]operator.InstanceState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.samples++
@@ -61,9 +63,9 @@
 	}
 }
 
-// fullAt returns when a version, or a higher one, was first in force on all
+// FullAt returns when a version, or a higher one, was first in force on all
 // instances.
-func (w *versions) fullAt(version fleet.Version) (time.Time, bool) {
+func (w *Versions) FullAt(version fleet.Version) (time.Time, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var first time.Time
@@ -75,9 +77,9 @@
 	return first, !first.IsZero()
 }
 
-// inForce returns the highest version and the number of digests of it that
+// InForce returns the highest version and the number of digests of it that
 // the last sample saw.
-func (w *versions) inForce() (fleet.Version, int) {
+func (w *Versions) InForce() (fleet.Version, int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	digests := map[fleet.Digest]bool{}
@@ -88,3 +90,11 @@
 	}
 	return w.highest, len(digests)
 }
+
+// Reverts describes each version that was seen to go down, and returns the
+// number of samples.
+func (w *Versions) Reverts() ([]string, int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.reverts), w.samples
+}
--- a/standin/proof/proof_test.go
+++ b/standin/proof/proof_test.go
@@ -8,67 +8,29 @@
 	"github.com/stretchr/testify/require"
 
 	"galenaridge/core/fleet"
-	"galenaridge/io/operator"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/proof/observe"
 )
 
-// TestVersions guards against a revert or a late instance that the samples
-// show and the proof does not see.
-func TestVersions(t *testing.T) {
-	type seen map[harness.Slot]fleet.Version
-	tests := []struct {
-		name    string
-		samples []seen
-		reverts int
-		full    fleet.Version
-	}{
-		{"in force everywhere", []seen{{"i1": 1, "i2": 1}, {"i1": 2, "i2": 2}}, 0, 2},
-		{"one is behind", []seen{{"i1": 2, "i2": 1}}, 0, 1},
-		{"one does not answer", []seen{{"i1": 2}}, 0, 0},
-		{"one goes back", []seen{{"i1": 2, "i2": 2}, {"i1": 1, "i2": 2}}, 1, 2},
-		{"all go back", []seen{{"i1": 2, "i2": 2}, {"i1": 1, "i2": 1}}, 3, 2},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			w := newVersions(2)
-			for n, sample := range test.samples {
-				states := map[harness.Slot]operator.InstanceState{}
-				for slot, version := range sample {
-					states[slot] = operator.InstanceState{
-						Instance: operator.Instance{ID: fleet.InstanceID(slot)},
-						Config:   operator.Config{Version: version},
-					}
-				}
-				w.take(time.Unix(int64(n), 0), states)
-			}
-			assert.Len(t, w.reverts, test.reverts)
-			_, full := w.fullAt(test.full)
-			assert.Equal(t, test.full > 0, full)
-			_, more := w.fullAt(test.full + 1)
-			assert.False(t, more)
-		})
-	}
-}
-
 // TestTimeline guards against ejections that the union of all instances
 // misses or keeps for too long.
 func TestTimeline(t *testing.T) {
 	at := func(n int) time.Time { return time.Unix(int64(n), 0) }
-	eject := func(n int, slot harness.Slot, server fleet.ServerID) change {
-		return change{at: at(n), slot: slot, server: server, after: "ejected"}
+	eject := func(n int, slot harness.Slot, server fleet.ServerID) observe.Change {
+		return observe.Change{At: at(n), Slot: slot, Server: server, After: "ejected"}
 	}
 	tests := []struct {
 		name    string
-		changes []change
+		changes []observe.Change
 		last    int
 	}{
-		{"two owners", []change{eject(1, "i1", "s-1"), eject(2, "i2", "s-2")}, 2},
-		{"another service", []change{eject(1, "i1", "s-1"), eject(2, "i2", "t-2")}, 1},
-		{"trial counts", []change{eject(1, "i1", "s-1"), {at: at(2), slot: "i1", server: "s-1", after: "trial"}}, 1},
-		{"reinstated", []change{eject(1, "i1", "s-1"), {at: at(2), slot: "i1", server: "s-1", after: "healthy"}}, 0},
-		{"given up", []change{eject(1, "i1", "s-1"), {at: at(2), slot: "i1", gone: []fleet.ServerID{"s-1"}}, eject(3, "i2", "s-2")}, 1},
-		{"restarted", []change{eject(1, "i1", "s-1"), {at: at(2), slot: "i1", restarted: true}, eject(3, "i2", "s-2")}, 1},
-		{"lost", []change{eject(1, "i1", "s-9")}, 0},
+		{"two owners", []observe.Change{eject(1, "i1", "s-1"), eject(2, "i2", "s-2")}, 2},
+		{"another service", []observe.Change{eject(1, "i1", "s-1"), eject(2, "i2", "t-2")}, 1},
+		{"trial counts", []observe.Change{eject(1, "i1", "s-1"), {At: at(2), Slot: "i1", Server: "s-1", After: "trial"}}, 1},
+		{"reinstated", []observe.Change{eject(1, "i1", "s-1"), {At: at(2), Slot: "i1", Server: "s-1", After: "healthy"}}, 0},
+		{"given up", []observe.Change{eject(1, "i1", "s-1"), {At: at(2), Slot: "i1", Gone: []fleet.ServerID{"s-1"}}, eject(3, "i2", "s-2")}, 1},
+		{"restarted", []observe.Change{eject(1, "i1", "s-1"), {At: at(2), Slot: "i1", Restarted: true}, eject(3, "i2", "s-2")}, 1},
+		{"lost", []observe.Change{eject(1, "i1", "s-9")}, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -111,34 +73,6 @@
 	}
 }
 
-// TestParse guards against log lines that the detection times are read from
-// and that are not understood.
-func TestParse(t *testing.T) {
-	tests := []struct {
-		name string
-		text string
-		out  bool
-		ok   bool
-	}{
-		{"ejected", `{"time":"2026-01-01T00:00:01.5Z","msg":"server condition changed","server":"s-1","before":"suspect","after":"ejected","reason":"stalled"}`, true, true},
-		{"suspect", `{"time":"2026-01-01T00:00:01.5Z","msg":"server condition changed","server":"s-1","before":"healthy","after":"suspect"}`, false, true},
-		{"given up", `{"time":"2026-01-01T00:00:01.5Z","msg":"ownership changed","acquired":null,"stopped":["server/s-1"],"lost":null}`, true, true},
-		{"acquired", `{"time":"2026-01-01T00:00:01.5Z","msg":"ownership changed","acquired":["server/s-1"],"stopped":null,"lost":null}`, false, true},
-		{"other", `{"time":"2026-01-01T00:00:01.5Z","msg":"member joined"}`, false, false},
-		{"no log line", "panic: x", false, false},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			c, ok := parse("i1", []byte(test.text))
-			assert.Equal(t, test.ok, ok)
-			assert.Equal(t, test.out, c.out("s-1"))
-			if ok {
-				assert.Equal(t, 1500*time.Millisecond, c.at.Sub(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)))
-			}
-		})
-	}
-}
-
 // TestQuantile guards against a 99th percentile that drops the worst of a
 // few times.
 func TestQuantile(t *testing.T) {
