--- a/core/traffic/engine_test.go
+++ b/core/traffic/engine_test.go
@@ -411,3 +411,39 @@
 	f.serve("GET")
 	assert.Equal(t, []fleet.ServerID{"1"}, f.drained)
 }
+
+// TestHeldSlots guards against a slot that is used again while the server may
+// still work on a request that was given up here.
+func TestHeldSlots(t *testing.T) {
+	timedOut := func(traffic.Attempt) (exchange.Response, traffic.Evidence) {
+		return exchange.Refuse(exchange.UpstreamTimeout, ""), traffic.Evidence{Written: true, TimedOut: true}
+	}
+	tests := []struct {
+		name string
+		send func(traffic.Attempt) (exchange.Response, traffic.Evidence)
+		held time.Duration
+	}{
+		{"done", succeed, 0},
+		{"server error", fail, 0},
+		{"denied", denied, 0},
+		{"connection lost", lost, 50 * time.Millisecond},
+		{"timed out", timedOut, 250 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, []fleet.ServerID{"1"})
+			f.send = tt.send
+			f.serve("POST")
+			pool := f.view.Services[svc].Pool
+			busyAfter := func(wait time.Duration) bool {
+				f.clock.Advance(wait)
+				pool.Expire(f.clock.Now())
+				return pool.Load().Busy > 0
+			}
+			if tt.held > 0 {
+				assert.True(t, busyAfter(tt.held-time.Millisecond))
+			}
+			assert.False(t, busyAfter(time.Millisecond))
+		})
+	}
+}
--- a/core/traffic/serve_test.go
+++ b/core/traffic/serve_test.go
@@ -251,3 +251,32 @@
 		})
 	}
 }
+
+// TestRefuseCopy guards against "not run" for a copy of a protected request
+// at an instance that cannot ask the home yet.
+func TestRefuseCopy(t *testing.T) {
+	tests := []struct {
+		name  string
+		token bool
+		want  fleet.Outcome
+	}{
+		{"without token", false, fleet.NotRun},
+		{"with token", true, fleet.Unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, []fleet.ServerID{"1"})
+			token := once.Token("")
+			if tt.token {
+				token = f.mint(t)
+			}
+			unready := *f.View()
+			unready.Config = &config.View{}
+			f.set(&unready)
+			request := f.request("POST")
+			got := f.engine.Serve(context.Background(), request, token).Response
+			assert.Equal(t, exchange.NotReady, got.Code)
+			assert.Equal(t, tt.want, got.Outcome)
+		})
+	}
+}
