io/peer: close connections to instances that are gone

A connection was kept for each address that was ever called, and instances are replaced under new addresses all the time. TestUnused failed before.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -36,6 +36,10 @@
 	// each message, and its answer wakes both sides once more.
 	streamWindow = 1 << 20
 	connWindow   = 4 << 20
+	// unusedLife is how long a connection is kept after its last call. It is far
+	// longer than any call. Instances are replaced under new addresses all the
+	// time.
+	unusedLife = 5 * time.Minute
 	// maxMessage bounds a message in bytes; the configuration may allow bodies of
 	// 64 MiB.
 	maxMessage = 66 << 20
@@ -54,7 +58,13 @@
 type Client struct {
 	options ClientOptions
 	mu      sync.Mutex
-	conns   map[connKey]*grpc.ClientConn
+	conns   map[connKey]*link
+}
+
+// link is a connection with the time of its last use.
+type link struct {
+	conn *grpc.ClientConn
+	used time.Time
 }
 
 // connKey separates control messages from requests of callers, so that large
@@ -66,25 +76,38 @@
 
 // NewClient returns a client without connections.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, conns: map[connKey]*grpc.ClientConn{}}
+	return &Client{options: options, conns: map[connKey]*link{}}
 }
 
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for key, conn := range c.conns {
-		_ = conn.Close()
+	for key, l := range c.conns {
+		_ = l.conn.Close()
 		delete(c.conns, key)
 	}
 }
 
+// closeUnused closes connections that had no call for long; the lock is held.
+func (c *Client) closeUnused(now time.Time) {
+	for key, l := range c.conns {
+		if now.Sub(l.used) > unusedLife {
+			_ = l.conn.Close()
+			delete(c.conns, key)
+		}
+	}
+}
+
 func (c *Client) conn(key connKey) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, known := c.conns[key]; known {
-		return conn, nil
+	now := c.options.Clock.Now()
+	if l, known := c.conns[key]; known {
+		l.used = now
+		return l.conn, nil
 	}
+	c.closeUnused(now)
 	target := key.address
 	if via, mapped := c.options.Via[target]; mapped {
 		target = via
@@ -109,7 +132,7 @@
 	if err != nil {
 		return nil, wrap(err, "open a connection to a peer")
 	}
-	c.conns[key] = conn
+	c.conns[key] = &link{conn: conn, used: now}
 	return conn, nil
 }
 
