core/control: let the age of the platform's last read grow on slow links

Instances that told each other the age took off the time of the message at each exchange, so that further members of a failure domain would try the platform late. TestPlatformAge fails without the correction.

--- a/core/control/commands.go
+++ b/core/control/commands.go
@@ -23,7 +23,8 @@
 		age   PlatformAge
 	}
 	got, err := ask(ctx, l, func(n *node, now time.Time) answer {
-		n.notePeer(now, message.News.Config, age)
+		n.notePeer(now, message.News.Config)
+		n.notePlatform(now.Add(-hopAge), age)
 		reply, effects := n.members.HandleHeartbeat(now, message)
 		n.runMember(effects)
 		return answer{reply: reply, age: n.platformAge(now)}
--- a/core/control/documents.go
+++ b/core/control/documents.go
@@ -77,13 +77,18 @@
 	})
 }
 
-// notePeer takes what a peer says about its documents and about the platform.
-func (n *node) notePeer(now time.Time, peer member.Config, age PlatformAge) {
+// notePeer takes what a peer says about its documents.
+func (n *node) notePeer(now time.Time, peer member.Config) {
 	if peer.Version >= n.newest {
 		n.newest = peer.Version
 		n.newestAt = now
 	}
-	if readAt := now.Add(-time.Duration(age)); readAt.After(n.platformAt) {
+}
+
+// notePlatform takes how long ago, before a time, a peer knows the platform to
+// have been read.
+func (n *node) notePlatform(before time.Time, age PlatformAge) {
+	if readAt := before.Add(-time.Duration(age)); readAt.After(n.platformAt) {
 		n.platformAt = readAt
 	}
 }
--- a/core/control/effects.go
+++ b/core/control/effects.go
@@ -55,7 +55,8 @@
 			n.runMember(n.members.HeartbeatFailed(now, out))
 			return
 		}
-		n.notePeer(now, got.reply.News.Config, got.age)
+		n.notePeer(now, got.reply.News.Config)
+		n.notePlatform(out.SentAt, got.age)
 		n.runMember(n.members.HandleHeartbeatReply(now, out, got.reply))
 	})
 }
--- a/core/control/node_test.go
+++ b/core/control/node_test.go
@@ -128,3 +128,25 @@
 	s.tick(n, p.now)
 	assert.Equal(t, health.Healthy, s.conditions["1"])
 }
+
+// TestPlatformAge guards against two instances that keep a read of the platform
+// young by telling each other of it over a slow link.
+func TestPlatformAge(t *testing.T) {
+	a, p := newTestNode(t)
+	b, q := newTestNode(t)
+	read := p.now
+	a.platformAt, b.platformAt = read, read
+	q.now = p.now
+	const oneWay = 80 * time.Millisecond
+	for range 20 {
+		sent := p.now
+		age := a.platformAge(sent)
+		p.now = p.now.Add(oneWay)
+		b.notePlatform(p.now.Add(-hopAge), age)
+		age = b.platformAge(p.now)
+		p.now = p.now.Add(oneWay)
+		a.notePlatform(sent, age)
+	}
+	assert.Equal(t, read, a.platformAt)
+	assert.Equal(t, read, b.platformAt)
+}
--- a/core/control/options.go
+++ b/core/control/options.go
@@ -106,6 +106,10 @@
 	// watchHold is how long a further member goes on after it could read the
 	// platform. It bounds the number of watchers after an outage.
 	watchHold = 30 * time.Second
+	// hopAge is added to the age of the platform's last read for the time that a
+	// heartbeat was on its way. Without it, instances that tell each other the
+	// same age would make it younger at each exchange.
+	hopAge = 100 * time.Millisecond
 	// newsLife bounds how long an instance waits for a configuration that a
 	// peer announced; if that peer was lost, nobody may have it any more.
 	newsLife = 5 * time.Second
