--- a/standin/proof/stop.go
+++ b/standin/proof/stop.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"fmt"
 	"sync"
 	"time"
 
@@ -11,98 +11,51 @@
 	"galenaridge/core/fleet"
 	"galenaridge/core/questionnaire"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/proof/caller"
 )
 
 // stopLoad is the share of what the servers bear; a stop must not meet an
 // overload, in which requests may time out.
 const stopLoad = 0.08
 
-// keeper is a caller that keeps an assignment for its whole lifetime, also
-// when an instance asks it to move, and sends each request once.
-type keeper struct {
-	entries []fleet.Address
-	domain  fleet.Domain
-	wire    *wire
-
-	mu      sync.Mutex
-	rng     *rand.Rand
-	tickets map[fleet.ServiceName]*ticket
-	// refused counts connections that were refused.
-	refused int
-}
-
-// Do implements bench.Caller.
-func (k *keeper) Do(_ context.Context, q client.Request) (client.Result, error) {
-	deadline := time.Now().Add(patience)
-	result := client.Result{Outcome: fleet.NotRun, Code: client.Unreachable, Key: q.Key}
-	for range ticketTrials {
-		t := k.ticket(q.Service)
-		if t == nil {
-			continue
-		}
-		token := ""
-		address := k.address(t)
-		if q.Protected {
-			token, address = t.Token, t.home()
-		}
-		sent, _, err := k.wire.send(address, q, token, deadline)
-		if !unsent(err) {
-			return sent, err
-		}
-		k.drop(q.Service, t)
+// keepers returns one caller that keeps its assignments for each failure
+// domain.
+func (s *stage) keepers(wire *caller.Wire) *caller.Crowd[*caller.Keeper] {
+	all := &caller.Crowd[*caller.Keeper]{}
+	for n := range s.deployment.Domains {
+		all.Callers = append(all.Callers, caller.NewKeeper(s.callerOptions(wire, n)))
 	}
-	return result, nil
+	return all
 }
 
-// ticket returns the ticket in use or asks random instances for one.
-func (k *keeper) ticket(service fleet.ServiceName) *ticket {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if t := k.tickets[service]; t != nil && time.Now().Before(t.ends) {
-		return t
-	}
-	for range ticketTrials {
-		t, err := k.wire.assign(k.entries[k.rng.IntN(len(k.entries))], service, k.domain)
-		if err == nil {
-			k.tickets[service] = t
-			return t
-		}
-	}
-	return nil
-}
+// maxCuts bounds the cut requests that a proof describes.
+const maxCuts = 10
 
-// address returns a random one of the assigned addresses.
-func (k *keeper) address(t *ticket) fleet.Address {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return t.Addresses[k.rng.IntN(len(t.Addresses))].Address
-}
+// cutLog describes the requests of a caller that were cut.
+type cutLog struct {
+	stage  *stage
+	name   string
+	sender bench.Caller
 
-func (k *keeper) drop(service fleet.ServiceName, old *ticket) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.refused++
-	if k.tickets[service] == old {
-		delete(k.tickets, service)
-	}
+	mu   sync.Mutex
+	cuts []string
 }
 
-// keepers returns one caller that keeps its assignments for each failure
-// domain.
-func (s *stage) keepers() *crowd[*keeper] {
-	wire := newWire(s.fleet.ClientVia())
-	all := &crowd[*keeper]{}
-	for _, domain := range s.deployment.Domains {
-		s.runs++
-		all.callers = append(all.callers, &keeper{
-			entries: s.fleet.Entries(),
-			domain:  domain,
-			wire:    wire,
-			rng:     rand.New(rand.NewPCG(s.options.Seed, s.runs)),
-			tickets: map[fleet.ServiceName]*ticket{},
-		})
+// Do implements bench.Caller.
+func (c *cutLog) Do(ctx context.Context, q client.Request) (client.Result, error) {
+	began := time.Now()
+	result, err := c.sender.Do(ctx, q)
+	if result.Outcome != fleet.Unknown {
+		return result, err
 	}
-	return all
+	slot, _ := c.stage.slotAt(result.Address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.cuts) < maxCuts {
+		c.cuts = append(c.cuts, fmt.Sprintf("%s: %s %s cut at %s, %s to %s: %s %s %v", c.name, q.Method, q.Service,
+			slot, began.UTC().Format("15:04:05.000"), time.Now().UTC().Format("15:04:05.000"), result.Code, result.Message, err))
+	}
+	return result, err
 }
 
 // proveStop shows that a planned stop cuts no request: every instance is
@@ -122,9 +75,11 @@
 		return err
 	}
 	defer followers.close()
-	stubborn := s.keepers()
-	defer stubborn.callers[0].wire.close()
-	all := &crowd[bench.Caller]{callers: []bench.Caller{followers, stubborn}}
+	wire := caller.NewWire(s.fleet.ClientVia())
+	defer wire.Close()
+	stubborn := s.keepers(wire)
+	logs := []*cutLog{{stage: s, name: "follower", sender: followers}, {stage: s, name: "keeper", sender: stubborn}}
+	all := &caller.Crowd[*cutLog]{Callers: logs}
 	loading, stop := context.WithCancel(ctx)
 	defer stop()
 	var failure error
@@ -146,8 +101,8 @@
 		return err
 	}
 	refused := 0
-	for _, k := range stubborn.callers {
-		refused += k.refused
+	for _, k := range stubborn.Callers {
+		refused += k.Refused()
 	}
 	cut := report.Total.Unknown
 	v.check(cut == 0, "0", "%d requests cut of %d", cut, report.Total.Offered)
@@ -156,6 +111,11 @@
 	v.check(2*report.Total.Good > report.Total.Offered, "most", "%d good", report.Total.Good)
 	v.note("%d not run, %d stale connections refused, longest stop %s, codes %v",
 		report.Total.NotRun, refused, longest.Round(time.Millisecond), codes(report))
+	for _, log := range logs {
+		for _, cut := range log.cuts {
+			v.note("%s", cut)
+		}
+	}
 	return nil
 }
 
