--- a/core/control/node_test.go
+++ b/core/control/node_test.go
@@ -150,3 +150,20 @@
 	assert.Equal(t, read, a.platformAt)
 	assert.Equal(t, read, b.platformAt)
 }
+
+// TestReconfigured guards against a server that announced that it leaves and
+// gets work again because the thresholds of the detection change.
+func TestReconfigured(t *testing.T) {
+	n, p := newTestNode(t)
+	s := n.services["s"]
+	n.acquire(p.now, fleet.ServerResource("1"))
+	s.tick(n, p.now)
+	n.serverDraining(p.now, "s", "1")
+	changed := s.config
+	changed.Deadline *= 2
+	s.configure(p.now, changed)
+	s.tick(n, p.now)
+	assert.Equal(t, health.Draining, s.conditions["1"])
+	_, err := s.pool.Acquire(context.Background(), admission.Ask{Weight: 1})
+	assert.Error(t, err)
+}
--- a/core/control/service.go
+++ b/core/control/service.go
@@ -28,6 +28,9 @@
 	// steward is nil unless this instance owns the floor of the service.
 	steward    *floor.Steward
 	conditions map[fleet.ServerID]health.Condition
+	// announced holds servers that announced to the detection before the
+	// present one that they leave.
+	announced []fleet.ServerID
 	// wanted holds the wishes that no report has carried yet.
 	wishing    bool
 	reportedAt time.Time
@@ -63,6 +66,7 @@
 func (s *service) configure(now time.Time, configured config.Service) {
 	if s.config.Detect != configured.Detect || s.config.Deadline != configured.Deadline {
 		s.health = health.New(now, healthOptions(configured))
+		s.announced = s.withCondition(health.Draining)
 	}
 	s.config = configured
 	if s.steward != nil {
@@ -71,6 +75,17 @@
 	s.updatePool()
 }
 
+// withCondition returns the servers in a condition.
+func (s *service) withCondition(condition health.Condition) []fleet.ServerID {
+	var found []fleet.ServerID
+	for id, c := range s.conditions {
+		if c == condition {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
 // rejoin starts the permits anew, because they belong to an incarnation.
 func (s *service) rejoin(self fleet.Member) { s.permits = floor.NewHolder(self) }
 
@@ -97,9 +112,6 @@
 func (s *service) acquire(now time.Time, listed fleet.ListedServer) {
 	s.pool.Resume(listed.ID)
 	s.held[listed.ID] = &Server{Listed: listed, Counters: health.NewCounters(now)}
-	if listed.Presence == fleet.Leaving {
-		s.health.Drain(now, listed.ID)
-	}
 	s.updatePool()
 }
 
@@ -130,16 +142,26 @@
 	}
 	slices.SortFunc(readings, func(a, b health.Reading) int { return cmp.Compare(a.Server, b.Server) })
 	n.runHealth(now, s, s.health.Observe(now, readings, s.taking()))
+	s.drainLeaving(n, now)
+	n.applyPermits(now, s, s.permits.Tick(now))
+	if n.lease && !s.reporting && (s.wishing || now.Sub(s.reportedAt) >= reportEvery) {
+		n.report(now, s)
+	}
+	s.noteConditions(n)
+}
+
+// drainLeaving tells the detection which servers leave. It knows a server only
+// after the first reading.
+func (s *service) drainLeaving(n *node, now time.Time) {
 	for id, owned := range s.held {
 		if owned.Listed.Presence == fleet.Leaving {
 			n.runHealth(now, s, s.health.Drain(now, id))
 		}
 	}
-	n.applyPermits(now, s, s.permits.Tick(now))
-	if n.lease && !s.reporting && (s.wishing || now.Sub(s.reportedAt) >= reportEvery) {
-		n.report(now, s)
+	for _, id := range s.announced {
+		n.runHealth(now, s, s.health.Drain(now, id))
 	}
-	s.noteConditions(n)
+	s.announced = nil
 }
 
 // taking counts the servers of the service that take work, as far as known
