--- a/core/control/service.go
+++ b/core/control/service.go
@@ -32,8 +32,10 @@
 	wishing    bool
 	reportedAt time.Time
 	reporting  bool
-	dirty      bool
-	published  *Service
+	// idle says that the last use of a server has been reported as over.
+	idle      bool
+	dirty     bool
+	published *Service
 	// republishAt is when the service is published again though no command
 	// has changed it.
 	republishAt time.Time
@@ -114,8 +116,10 @@
 	s.updatePool()
 }
 
-// drop ends the use of a server.
+// drop ends the use of a server. The steward is told at once, because permits
+// for it are outstanding until then.
 func (s *service) drop(server fleet.ServerID) {
+	s.wishing = true
 	delete(s.held, server)
 	delete(s.conditions, server)
 	s.updatePool()
@@ -134,11 +138,17 @@
 		s.republishAt = now.Add(republishEvery)
 		s.dirty = true
 	}
-	if len(s.held) == 0 {
+	if len(s.held) == 0 && s.idle {
 		return
 	}
+	s.idle = len(s.held) == 0 && !s.reporting
 	readings := s.readings(now)
 	n.runHealth(now, s, s.health.Observe(now, readings, s.taking()))
+	for id, owned := range s.held {
+		if owned.Listed.Presence == fleet.Leaving {
+			n.runHealth(now, s, s.health.Drain(now, id))
+		}
+	}
 	n.applyPermits(now, s, s.permits.Tick(now))
 	if n.lease && !s.reporting && (s.wishing || now.Sub(s.reportedAt) >= reportEvery) {
 		n.report(now, s)
@@ -168,18 +178,18 @@
 // taking counts the servers of the service that take work, as far as known
 // here.
 func (s *service) taking() fleet.Servers {
-	count := 0
+	count := fleet.Servers(0)
 	for _, entry := range s.listed {
+		switch s.conditions[entry.ID] {
+		case health.Ejected, health.Dead, health.Draining:
+			continue
+		default:
+		}
 		if entry.Presence == fleet.Live {
 			count++
 		}
 	}
-	for _, condition := range s.conditions {
-		if condition == health.Ejected || condition == health.Dead {
-			count--
-		}
-	}
-	return fleet.Servers(max(count, 0))
+	return count
 }
 
 // noteConditions reports changed conditions and updates the pool.
@@ -206,17 +216,33 @@
 // updatePool tells the pool which servers may be used, and how.
 func (s *service) updatePool() {
 	servers := make([]admission.ServerSlots, 0, len(s.held))
+	permits := s.permits.Publish().Permits()
 	for _, id := range slices.Sorted(maps.Keys(s.held)) {
 		servers = append(servers, admission.ServerSlots{
 			Server: id,
 			Slots:  s.config.Slots,
 			Use:    useOf(s.held[id].Listed, s.conditions[id]),
+			Until:  ejectedUntil(permits, id, s.conditions[id]),
 		})
 	}
 	s.pool.SetServers(servers)
 	s.dirty = true
 }
 
+// ejectedUntil returns the end of the permit of an ejected server; zero if the
+// server is not ejected.
+func ejectedUntil(permits []floor.Permit, id fleet.ServerID, condition health.Condition) time.Time {
+	if condition != health.Ejected && condition != health.Trial {
+		return time.Time{}
+	}
+	for _, permit := range permits {
+		if permit.Server == id {
+			return permit.Expires
+		}
+	}
+	return time.Time{}
+}
+
 // useOf says how a server in a condition may be used.
 func useOf(listed fleet.ListedServer, condition health.Condition) admission.Use {
 	if listed.Presence == fleet.Leaving {
--- a/core/traffic/run.go
+++ b/core/traffic/run.go
@@ -11,59 +11,79 @@
 	"galenaridge/core/retry"
 )
 
-// trial is what one owner made of a request.
+// trial is what is known after one or more attempts.
 type trial struct {
 	response exchange.Response
-	// reached reports that an attempt was made on a server.
-	reached bool
+	// made counts the attempts on servers.
+	made int
 	// written reports that a server may have got the request.
 	written bool
 }
 
+// then returns what is known after a further trial. Once a server may have got
+// the request, the refusal of a later trial must not say that it was not run.
+func (t trial) then(next trial) trial {
+	response := next.response
+	if t.written && response.Outcome == fleet.NotRun {
+		response = t.response
+	}
+	return trial{
+		response: response,
+		made:     t.made + next.made,
+		written:  t.written || next.written,
+	}
+}
+
 // run tries owners of the service until one answers, as far as retries are
 // allowed. The context ends at the deadline of the request.
 func (e *Engine) run(ctx context.Context, request exchange.Request) exchange.Response {
 	var tried []fleet.InstanceID
-	last := exchange.Refuse(exchange.NoCapacity, "no owner of the service can be reached")
-	made := 0
-	for range maxTargets {
+	all := trial{response: exchange.Refuse(exchange.NoCapacity, "no owner of the service can be reached")}
+	for i := range maxTargets {
 		view := e.options.Control.View()
 		service := view.Services[request.Service]
 		if service == nil {
-			return exchange.Refuse(exchange.NoService, "service is not configured")
+			return all.then(trial{response: exchange.Refuse(exchange.NoService, "service is not configured")}).response
 		}
-		if made == 0 {
+		if i == 0 {
 			service.Budget.Earn()
 		}
 		target, found := e.choose(view, service, tried)
 		if !found {
-			return last
+			return all.response
 		}
 		tried = append(tried, target.Member.ID)
 		t := e.try(ctx, view, target, request)
-		last = t.response
-		if t.reached {
-			made++
-		}
-		if !e.again(service, request, t, made) {
-			return last
+		all = all.then(t)
+		if ctx.Err() != nil || !e.again(service, request, t, all.made) {
+			return all.response
 		}
 	}
-	return last
+	return all.response
 }
 
 // again decides whether another owner should be tried.
 func (e *Engine) again(service *control.Service, request exchange.Request, t trial, made int) bool {
-	left := request.Deadline.Sub(e.options.Clock.Now())
-	if !t.reached {
-		return !t.written && left > 0
+	if t.made == 0 {
+		return e.free(request, t)
 	}
+	return e.retry(service, request, t, made)
+}
+
+// free decides about another attempt after one that reached no server. It adds
+// no load to the service and so costs no token of the budget.
+func (e *Engine) free(request exchange.Request, t trial) bool {
+	return e.options.Clock.Now().Before(request.Deadline) && t.response.Code != exchange.BadRequest
+}
+
+// retry decides about another attempt after one on a server.
+func (e *Engine) retry(service *control.Service, request exchange.Request, t trial, made int) bool {
 	decision := retry.Decide(retry.Attempt{
 		Answered:   answered(request, t.response),
 		Idempotent: !request.Protected,
 		Written:    t.written,
 		Made:       made,
-		Left:       left,
+		Left:       request.Deadline.Sub(e.options.Clock.Now()),
 		Expected:   service.Health.Median(),
 	})
 	return decision == retry.Again && service.Budget.Spend()
@@ -130,22 +150,29 @@
 const otherDomainCost = 0.25
 
 // anyOwner returns the first owner, from a random start, that can be tried.
+// Those that said that they have no slots come last.
 func (e *Engine) anyOwner(service *control.Service, self member.Info, tried []fleet.InstanceID, now time.Time) (control.Owner, bool) {
 	count := len(service.Owners)
 	if count == 0 {
 		return control.Owner{}, false
 	}
+	var last control.Owner
+	found := false
 	start := e.options.Random.IntN(count)
 	for i := range count {
 		owner := service.Owners[(start+i)%count]
 		if owner.Member.ID == self.Member.ID || contains(tried, owner.Member.ID) {
 			continue
 		}
-		if e.loads.cost(service.Config.Name, owner.Member.ID, now) < avoidCost {
+		cost := e.loads.cost(service.Config.Name, owner.Member.ID, now)
+		if cost < avoidCost/2 {
 			return owner, true
 		}
+		if !found && cost < avoidCost {
+			last, found = owner, true
+		}
 	}
-	return control.Owner{}, false
+	return last, found
 }
 
 func contains(tried []fleet.InstanceID, id fleet.InstanceID) bool {
@@ -162,20 +189,25 @@
 	if target.Member == view.Members.Self().Member {
 		return e.runLocal(ctx, request)
 	}
-	now := e.options.Clock.Now()
 	request.Hops++
 	to := member.Peer{Member: target.Member, Address: target.Peer}
 	response, delivered := e.options.Peers.Execute(ctx, to, request)
+	now := e.options.Clock.Now()
 	if !delivered {
-		e.loads.avoid(request.Service, target.Member.ID, now.Add(avoidFor))
+		if ctx.Err() == nil {
+			e.loads.avoid(request.Service, target.Member.ID, now.Add(avoidFor))
+		}
 		return trial{response: exchange.Refuse(exchange.NoCapacity, "the owner cannot be reached")}
 	}
-	e.loads.report(request.Service, target.Member.ID, response.Load, e.options.Clock.Now())
-	return trial{
-		response: response,
-		reached:  response.Outcome != fleet.NotRun,
-		written:  response.Outcome != fleet.NotRun,
+	if response.Outcome == fleet.NotRun {
+		e.loads.report(request.Service, target.Member.ID, response.Load, now)
+		return trial{response: response}
+	}
+	if response.Load.Slots > 0 {
+		// A reply that was lost carries no load.
+		e.loads.report(request.Service, target.Member.ID, response.Load, now)
 	}
+	return trial{response: response, made: 1, written: true}
 }
 
 // Execute carries out a request of another instance on the servers that this
