--- a/core/member/doc.go
+++ b/core/member/doc.go
@@ -18,6 +18,10 @@
 // takes the later of each. A digest over the records shows differences, which
 // a Sync resolves.
 //
+// An instance joins once it has the records of an active member, or, on a first
+// start, knows the instances in the platform's listing. With a listing it must
+// know as many members as a majority of the listing names.
+//
 // # Guarantees
 //
 //   - No lease of an incarnation is valid once a certificate for it exists.
@@ -44,6 +48,9 @@
 //   - A first start of the fleet while the network is partitioned waits for a
 //     majority of the listed instances. It is not safe if instances start from
 //     different listings and no member is active yet.
+//   - While a listing names more dead than living instances, nobody joins.
+//   - A member that the listing never named, and whose witnesses are lost with
+//     it, stays in the records until a listing that is 30 s newer.
 //
 // # Use
 //
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -296,8 +296,10 @@
 		name     string
 		contacts []fleet.Address
 		listing  *fleet.Listing
-		wait     time.Duration
-		active   bool
+		// introduced lists the members whose records an active one sends.
+		introduced []fleet.InstanceID
+		wait       time.Duration
+		active     bool
 	}{
 		{name: "nothing known", wait: time.Minute},
 		{name: "alone in the listing", listing: listed("i"), wait: time.Second, active: true},
@@ -306,6 +308,9 @@
 		{name: "others do not answer", listing: listed("i", "a", "b"), wait: time.Minute},
 		{name: "contacts do not answer", contacts: []fleet.Address{"a"}, wait: time.Minute},
 		{name: "only contact is itself", contacts: []fleet.Address{"i"}, wait: time.Second, active: true},
+		{name: "introduced without a listing", introduced: []fleet.InstanceID{"a"}, wait: time.Second, active: true},
+		{name: "introduced by a majority", listing: listed("a", "b", "c"), introduced: []fleet.InstanceID{"a"}, wait: time.Second, active: true},
+		{name: "introduced by a minority", listing: listed("a", "b", "c", "d"), introduced: []fleet.InstanceID{"a"}, wait: time.Minute},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -314,8 +319,16 @@
 			if tt.listing != nil {
 				s.SetListing(epoch, *tt.listing)
 			}
+			var records []member.Record
+			for _, id := range tt.introduced {
+				m := fleet.Member{ID: id, Incarnation: 1}
+				records = append(records, member.Record{Member: m, Status: member.Active, Peer: fleet.Address(id)})
+			}
+			s.HandleSync(epoch, member.SyncRequest{Records: records})
 			for now := epoch; now.Sub(epoch) < tt.wait; now = now.Add(tick) {
-				s.Tick(now)
+				for _, out := range s.Tick(now).Heartbeats {
+					s.HandleHeartbeatReply(now, out, member.HeartbeatReply{From: out.To.Member, Acknowledged: true})
+				}
 			}
 			assert.Equal(t, tt.active, s.View().Self().Status == member.Active)
 		})
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -196,6 +196,110 @@
 	assert.Equal(t, ownership.Free, ask())
 }
 
+// Guards against members that join in front of a holder and do not know it.
+func TestHolderAnnouncesItself(t *testing.T) {
+	members := roster(t, other("b", "d1", member.Active))
+	s := owning(members)
+	now := epoch.Add(2 * time.Second)
+	for range 2 {
+		answerAll(s, now, ownership.Free)
+	}
+	tests := []struct {
+		name string
+		join []member.Record
+		told []fleet.InstanceID
+	}{
+		{name: "acquired", told: []fleet.InstanceID{"b"}},
+		{name: "nothing changed"},
+		{name: "one joins", join: []member.Record{ahead()}, told: []fleet.InstanceID{ahead().Member.ID}},
+	}
+	for _, tt := range tests {
+		now = now.Add(time.Second)
+		members.Learn(now, tt.join)
+		s.SetMembers(now, members.View())
+		var told []fleet.InstanceID
+		for _, out := range s.Tick(now, true).Claims {
+			assert.Equal(t, []fleet.Resource{name}, out.Message.Holds)
+			told = append(told, out.To.Member.ID)
+			s.HandleClaimReply(now, out, ownership.ClaimReply{From: out.To.Member})
+		}
+		assert.Equal(t, tt.told, told, tt.name)
+	}
+}
+
+// Guards against a claim by several new members that asks none who knows the
+// holder: a member that was never told names those that were active before it.
+func TestUninformedNamesElders(t *testing.T) {
+	elder, holder := other("e", "d1", member.Active), other("h", "d1", member.Active)
+	tests := []struct {
+		name  string
+		holds bool
+		named []fleet.InstanceID
+	}{
+		{name: "never told", named: []fleet.InstanceID{"e", "h"}},
+		{name: "told of a holder", holds: true, named: []fleet.InstanceID{"h"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			members := member.New(epoch, member.Options{ID: "self", Domain: "d0", Random: rand.New(rand.NewPCG(1, 1))})
+			members.Learn(epoch, []member.Record{elder, holder})
+			s := owning(members)
+			if tt.holds {
+				s.HandleClaim(epoch, ownership.Claim{From: holder, Holds: []fleet.Resource{name}})
+			}
+			reply, _ := s.HandleClaim(epoch, ownership.Claim{From: ahead(), Resources: []fleet.Resource{name}})
+			var named []fleet.InstanceID
+			for _, given := range reply.Answers {
+				assert.Equal(t, ownership.Held, given.Verdict)
+				named = append(named, given.Holder.Member.ID)
+			}
+			assert.ElementsMatch(t, tt.named, named)
+		})
+	}
+}
+
+// Guards against consent that was given before this instance consented to
+// another claimant, whether it arrived before or after that.
+func TestConsentingVoidsOwnClaim(t *testing.T) {
+	tests := []struct {
+		name string
+		late bool
+	}{
+		{name: "consent had arrived"},
+		{name: "consent arrives late", late: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first := ahead()
+			members := roster(t, other("b", "d1", member.Active))
+			s := owning(members)
+			now := epoch.Add(2 * time.Second)
+			out := s.Tick(now, true).Claims
+			require.Len(t, out, 1)
+			consent := func() {
+				free := []ownership.Answer{{Resource: name, Verdict: ownership.Free}}
+				s.HandleClaimReply(now, out[0], ownership.ClaimReply{From: out[0].To.Member, Answers: free})
+			}
+			if !tt.late {
+				consent()
+			}
+			members.Learn(now, []member.Record{first})
+			s.SetMembers(now, members.View())
+			s.HandleClaim(now.Add(time.Millisecond), ownership.Claim{From: first, Resources: []fleet.Resource{name}})
+			if tt.late {
+				consent()
+			}
+			first.Status = member.Left
+			members.Learn(now, []member.Record{first})
+			s.SetMembers(now, members.View())
+			claims := s.Tick(now.Add(time.Second), true).Claims
+			assert.False(t, s.View().Holds(name, true))
+			require.Len(t, claims, 1)
+			assert.Equal(t, []fleet.Resource{name}, claims[0].Message.Resources)
+		})
+	}
+}
+
 // Guards against a broken path that gets its resource straight back.
 func TestReleaseHoldsOff(t *testing.T) {
 	members := roster(t, other("b", "d1", member.Active))
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -15,7 +15,7 @@
 const (
 	// checks is the number of random histories; the seed makes them the same in
 	// every run.
-	checks       = "25"
+	checks       = "40"
 	seed         = "1"
 	resources    = 8
 	maxInstances = 10
