--- a/core/control/effects.go
+++ b/core/control/effects.go
@@ -55,7 +55,8 @@
 			n.runMember(n.members.HeartbeatFailed(now, out))
 			return
 		}
-		n.notePeer(now, got.reply.News.Config, got.age)
+		n.notePeer(now, got.reply.News.Config)
+		n.notePlatform(out.SentAt, got.age)
 		n.runMember(n.members.HandleHeartbeatReply(now, out, got.reply))
 	})
 }
@@ -131,6 +132,7 @@
 		if s := n.services[name]; s != nil {
 			s.steward = floor.NewSteward(s.config.Floor)
 			s.steward.Become(now)
+			s.dirty = true
 		}
 		return
 	}
--- a/core/control/node_test.go
+++ b/core/control/node_test.go
@@ -128,3 +128,42 @@
 	s.tick(n, p.now)
 	assert.Equal(t, health.Healthy, s.conditions["1"])
 }
+
+// TestPlatformAge guards against two instances that keep a read of the platform
+// young by telling each other of it over a slow link.
+func TestPlatformAge(t *testing.T) {
+	a, p := newTestNode(t)
+	b, q := newTestNode(t)
+	read := p.now
+	a.platformAt, b.platformAt = read, read
+	q.now = p.now
+	const oneWay = 80 * time.Millisecond
+	for range 20 {
+		sent := p.now
+		age := a.platformAge(sent)
+		p.now = p.now.Add(oneWay)
+		b.notePlatform(p.now.Add(-hopAge), age)
+		age = b.platformAge(p.now)
+		p.now = p.now.Add(oneWay)
+		a.notePlatform(sent, age)
+	}
+	assert.Equal(t, read, a.platformAt)
+	assert.Equal(t, read, b.platformAt)
+}
+
+// TestReconfigured guards against a server that announced that it leaves and
+// gets work again because the thresholds of the detection change.
+func TestReconfigured(t *testing.T) {
+	n, p := newTestNode(t)
+	s := n.services["s"]
+	n.acquire(p.now, fleet.ServerResource("1"))
+	s.tick(n, p.now)
+	n.serverDraining(p.now, "s", "1")
+	changed := s.config
+	changed.Deadline *= 2
+	s.configure(p.now, changed)
+	s.tick(n, p.now)
+	assert.Equal(t, health.Draining, s.conditions["1"])
+	_, err := s.pool.Acquire(context.Background(), admission.Ask{Weight: 1})
+	assert.Error(t, err)
+}
--- a/core/control/service.go
+++ b/core/control/service.go
@@ -28,6 +28,9 @@
 	// steward is nil unless this instance owns the floor of the service.
 	steward    *floor.Steward
 	conditions map[fleet.ServerID]health.Condition
+	// announced holds servers that announced to the detection before the
+	// present one that they leave.
+	announced []fleet.ServerID
 	// wanted holds the wishes that no report has carried yet.
 	wishing    bool
 	reportedAt time.Time
@@ -36,8 +39,18 @@
 	idle      bool
 	dirty     bool
 	published *Service
+	// republishAt is when the service is published again though no command
+	// has changed it.
+	republishAt time.Time
+	// started counts the attempts on held servers as of the last tick.
+	started uint64
 }
 
+// republishEvery bounds the age of what changes by time alone, such as latencies
+// that leave their window. A publication on each tick copied all services 20
+// times a second though nothing had changed.
+const republishEvery = time.Second
+
 func newService(n *node, now time.Time, configured config.Service) *service {
 	return &service{
 		config:     configured,
@@ -63,6 +76,7 @@
 func (s *service) configure(now time.Time, configured config.Service) {
 	if s.config.Detect != configured.Detect || s.config.Deadline != configured.Deadline {
 		s.health = health.New(now, healthOptions(configured))
+		s.announced = s.withCondition(health.Draining)
 	}
 	s.config = configured
 	if s.steward != nil {
@@ -71,8 +85,22 @@
 	s.updatePool()
 }
 
+// withCondition returns the servers in a condition.
+func (s *service) withCondition(condition health.Condition) []fleet.ServerID {
+	var found []fleet.ServerID
+	for id, c := range s.conditions {
+		if c == condition {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
 // rejoin starts the permits anew, because they belong to an incarnation.
-func (s *service) rejoin(self fleet.Member) { s.permits = floor.NewHolder(self) }
+func (s *service) rejoin(self fleet.Member) {
+	s.permits = floor.NewHolder(self)
+	s.dirty = true
+}
 
 // setListed takes the servers that the platform lists for the service.
 func (s *service) setListed(now time.Time, listed []fleet.ListedServer) {
@@ -97,9 +125,6 @@
 func (s *service) acquire(now time.Time, listed fleet.ListedServer) {
 	s.pool.Resume(listed.ID)
 	s.held[listed.ID] = &Server{Listed: listed, Counters: health.NewCounters(now)}
-	if listed.Presence == fleet.Leaving {
-		s.health.Drain(now, listed.ID)
-	}
 	s.updatePool()
 }
 
@@ -117,29 +142,59 @@
 	s.pool.Expire(now)
 	if s.steward != nil {
 		s.steward.Extend(n.members.View().LeaseUntil())
-		s.steward.Tick(now)
+		if len(s.steward.Tick(now)) > 0 {
+			s.dirty = true
+		}
+	}
+	if !now.Before(s.republishAt) {
+		s.republishAt = now.Add(republishEvery)
 		s.dirty = true
 	}
 	if len(s.held) == 0 && s.idle {
 		return
 	}
 	s.idle = len(s.held) == 0 && !s.reporting
+	readings := s.readings(now)
+	n.runHealth(now, s, s.health.Observe(now, readings, s.taking()))
+	s.drainLeaving(n, now)
+	n.applyPermits(now, s, s.permits.Tick(now))
+	if n.lease && !s.reporting && (s.wishing || now.Sub(s.reportedAt) >= reportEvery) {
+		n.report(now, s)
+	}
+	s.noteConditions(n)
+}
+
+// readings returns the counters of the held servers in order of id, and notes
+// whether any of them has work.
+func (s *service) readings(now time.Time) []health.Reading {
 	readings := make([]health.Reading, 0, len(s.held))
+	started, inFlight := uint64(0), 0
 	for id, owned := range s.held {
-		readings = append(readings, health.Reading{Server: id, Snapshot: owned.Counters.Snapshot(now)})
+		snapshot := owned.Counters.Snapshot(now)
+		started += snapshot.Started
+		inFlight += snapshot.InFlight
+		readings = append(readings, health.Reading{Server: id, Snapshot: snapshot})
+	}
+	if started != s.started || inFlight > 0 {
+		s.started = started
+		s.dirty = true
 	}
 	slices.SortFunc(readings, func(a, b health.Reading) int { return cmp.Compare(a.Server, b.Server) })
-	n.runHealth(now, s, s.health.Observe(now, readings, s.taking()))
+	return readings
+}
+
+// drainLeaving tells the detection which servers leave. It knows a server only
+// after the first reading.
+func (s *service) drainLeaving(n *node, now time.Time) {
 	for id, owned := range s.held {
 		if owned.Listed.Presence == fleet.Leaving {
 			n.runHealth(now, s, s.health.Drain(now, id))
 		}
 	}
-	n.applyPermits(now, s, s.permits.Tick(now))
-	if n.lease && !s.reporting && (s.wishing || now.Sub(s.reportedAt) >= reportEvery) {
-		n.report(now, s)
+	for _, id := range s.announced {
+		n.runHealth(now, s, s.health.Drain(now, id))
 	}
-	s.noteConditions(n)
+	s.announced = nil
 }
 
 // taking counts the servers of the service that take work, as far as known
@@ -163,6 +218,10 @@
 func (s *service) noteConditions(n *node) {
 	changed := false
 	for _, status := range s.health.Publish().All() {
+		if status.Condition != health.Healthy {
+			// Its badness and its permit change without a change of condition.
+			s.dirty = true
+		}
 		before := s.conditions[status.Server]
 		if before == status.Condition {
 			continue
@@ -174,7 +233,6 @@
 	if changed {
 		s.updatePool()
 	}
-	s.dirty = true
 }
 
 // updatePool tells the pool which servers may be used, and how.
