--- a/standin/proof/mix.go
+++ b/standin/proof/mix.go
@@ -9,7 +9,12 @@
 	"galenaridge/standin/proof/caller"
 )
 
-// clients is one client of package client for each failure domain.
+// clientsPerDomain spreads the load over the owners: each client keeps one
+// assignment for seconds, and servers of owners that no client is assigned to
+// would get hardly any requests.
+const clientsPerDomain = 8
+
+// clients are clients of package client in all failure domains.
 type clients struct{ caller.Crowd[*client.Client] }
 
 func (c *clients) close() {
@@ -18,10 +23,10 @@
 	}
 }
 
-// clients returns a client for each failure domain.
+// clients returns clients for all failure domains.
 func (s *stage) clients() (*clients, error) {
 	all := &clients{}
-	for n := range s.deployment.Domains {
+	for n := range clientsPerDomain * len(s.deployment.Domains) {
 		one, err := s.client(n)
 		if err != nil {
 			all.close()
