--- a/core/control/loop_test.go
+++ b/core/control/loop_test.go
@@ -9,8 +9,10 @@
 	"github.com/stretchr/testify/require"
 
 	"galenaridge/core/admission"
+	"galenaridge/core/config"
 	"galenaridge/core/control"
 	"galenaridge/core/fleet"
+	"galenaridge/core/health"
 )
 
 const (
@@ -198,3 +200,33 @@
 	assert.ErrorIs(t, i.Leave(context.Background()), control.ErrStopped)
 	i.ServerDraining(svc, "s1")
 }
+
+// TestEjection guards against a stalled server that keeps getting work, and
+// against ejections that take a service below its floor.
+func TestEjection(t *testing.T) {
+	t.Parallel()
+	const servers, ejectable = 4, 2
+	n := newNetwork()
+	i := n.start(t, "i1")
+	d := document(1, svc)
+	d.Services[0].Floor = servers - ejectable
+	d.Digest = config.DigestOf(d)
+	i.offer(t, d, listing(1, 1, servers))
+	awaitOwned(t, []*instance{i}, []*instance{i}, servers)
+	for _, stalled := range []fleet.ServerID{"s1", "s2", "s3"} {
+		i.View().Services[svc].Servers[stalled].Counters.Start(0, n.clock.Now())
+	}
+	require.Eventually(t, func() bool {
+		service := i.View().Services[svc]
+		ejected := 0
+		for _, status := range service.Health.All() {
+			if status.Condition == health.Ejected {
+				ejected++
+				// The view may be a few ticks old.
+				require.True(t, service.Permits.Valid(status.Server, n.clock.Now().Add(-time.Second)))
+			}
+		}
+		require.LessOrEqual(t, ejected, ejectable)
+		return ejected == ejectable && service.Pool.Load().Slots == 2*(servers-ejectable)
+	}, patience, poll)
+}
