core/traffic: count what waits for a reply against an owner

An owner that cannot be reached one way reports no load and stays connected, so it was chosen as often as others and each request to it waited for its deadline. TestSilentOwner failed before.

--- a/core/traffic/assign_test.go
+++ b/core/traffic/assign_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -61,7 +62,7 @@
 			"at most three",
 			[]control.Owner{near, owner("b", "d"), owner("c", "d"), owner("e", "d")},
 			map[fleet.InstanceID]bool{"near": true},
-			[]fleet.Address{"near", "b", "c"},
+			[]fleet.Address{"near", "c", "b"},
 			"",
 		},
 	}
@@ -130,3 +131,28 @@
 		})
 	}
 }
+
+// TestSilentOwner guards against requests that pile up at an owner whose replies
+// do not come.
+func TestSilentOwner(t *testing.T) {
+	f := start(t, nil, "silent", "other")
+	arrived, release := make(chan fleet.InstanceID), make(chan struct{})
+	f.execute = func(to member.Peer) (exchange.Response, bool) {
+		arrived <- to.Member.ID
+		if to.Member.ID == "silent" {
+			<-release
+		}
+		return exchange.Response{Outcome: fleet.Done, Status: 200}, true
+	}
+	var running conc.WaitGroup
+	silent := 0
+	for range 20 {
+		running.Go(func() { f.serve("POST") })
+		if <-arrived == "silent" {
+			silent++
+		}
+	}
+	close(release)
+	running.Wait()
+	assert.LessOrEqual(t, silent, 10)
+}
--- a/core/traffic/engine_test.go
+++ b/core/traffic/engine_test.go
@@ -93,11 +93,11 @@
 	return once.Token("token of " + to.Member.ID), nil
 }
 
-// first always draws zero.
-type first struct{}
+// turns draws the numbers from zero in turn.
+type turns struct{ drawn atomic.Int64 }
 
-func (first) IntN(int) int   { return 0 }
-func (first) Uint64() uint64 { return 7 }
+func (r *turns) IntN(n int) int { return int(r.drawn.Add(1)-1) % n }
+func (r *turns) Uint64() uint64 { return 7 }
 
 // start returns an engine of an instance that owns the servers and knows the
 // other instances as owners.
@@ -107,7 +107,7 @@
 	f.view = f.newView(t, servers, others)
 	f.send = succeed
 	engine, err := traffic.New(traffic.Options{
-		Control: f, Drains: f, Sender: f, Peers: f, Clock: f.clock, Random: first{}, Secrets: rand.Reader,
+		Control: f, Drains: f, Sender: f, Peers: f, Clock: f.clock, Random: &turns{}, Secrets: rand.Reader,
 		Records: traffic.Records{Count: 100, Body: 1 << 10, Memory: 1 << 20},
 	}, f.view.Members.Self().Member)
 	require.NoError(t, err)
--- a/core/traffic/load.go
+++ b/core/traffic/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"galenaridge/core/exchange"
@@ -23,7 +24,30 @@
 }
 
 // loadTable remembers the loads of owners. The zero value is empty.
-type loadTable struct{ entries sync.Map }
+type loadTable struct {
+	entries sync.Map
+	// pending counts the requests to each owner that wait for a reply.
+	pending sync.Map
+}
+
+// begin counts a request to an owner until the returned function is called. An
+// owner whose replies do not come, as in a one-way partition, reports no load
+// and gets expensive by this alone.
+func (t *loadTable) begin(service fleet.ServiceName, owner fleet.InstanceID) (end func()) {
+	found, _ := t.pending.LoadOrStore(loadKey{service: service, owner: owner}, new(atomic.Int64))
+	count := found.(*atomic.Int64)
+	count.Add(1)
+	return func() { count.Add(-1) }
+}
+
+// waiting returns how many requests to an owner wait for a reply.
+func (t *loadTable) waiting(key loadKey) float64 {
+	found, known := t.pending.Load(key)
+	if !known {
+		return 0
+	}
+	return float64(found.(*atomic.Int64).Load())
+}
 
 func (t *loadTable) report(service fleet.ServiceName, owner fleet.InstanceID, load exchange.Load, now time.Time) {
 	t.entries.Store(loadKey{service: service, owner: owner}, loadEntry{load: load, at: now})
@@ -43,28 +67,41 @@
 		}
 		return true
 	})
+	t.pending.Range(func(key, found any) bool {
+		if found.(*atomic.Int64).Load() == 0 {
+			t.pending.CompareAndDelete(key, found)
+		}
+		return true
+	})
 }
 
 // cost orders owners: the expected number of requests for each slot, or a
-// neutral value if nothing recent is known.
+// neutral value if nothing recent is known, and what waits for a reply.
 func (t *loadTable) cost(service fleet.ServiceName, owner fleet.InstanceID, now time.Time) float64 {
-	found, known := t.entries.Load(loadKey{service: service, owner: owner})
+	key := loadKey{service: service, owner: owner}
+	waiting := t.waiting(key) / waitingSlots
+	found, known := t.entries.Load(key)
 	if !known {
-		return neutralCost
+		return neutralCost + waiting
 	}
 	entry := found.(loadEntry)
-	if now.Before(entry.avoid) {
+	switch {
+	case now.Before(entry.avoid):
 		return avoidCost
+	case now.Sub(entry.at) > loadLife:
+		return neutralCost + waiting
+	default:
+		return costOf(entry.load) + waiting
 	}
-	if now.Sub(entry.at) > loadLife {
-		return neutralCost
-	}
-	return costOf(entry.load)
 }
 
 const (
 	// neutralCost is that of an owner whose slots are half used.
 	neutralCost = 0.5
+	// waitingSlots is how many requests that wait for a reply count like one for
+	// each slot. Most of them are in the reported load as well, so they weigh
+	// less than that.
+	waitingSlots = 8
 	// avoidCost is above that of any reachable owner.
 	avoidCost = 1e9
 )
--- a/core/traffic/load_test.go
+++ b/core/traffic/load_test.go
@@ -40,3 +40,25 @@
 		})
 	}
 }
+
+// TestWaiting guards against an owner that is chosen again and again although
+// its replies do not come.
+func TestWaiting(t *testing.T) {
+	now := time.Now()
+	var table loadTable
+	var ends []func()
+	for range 40 {
+		if table.cost("s", "silent", now) <= table.cost("s", "other", now) {
+			ends = append(ends, table.begin("s", "silent"))
+		}
+	}
+	assert.Len(t, ends, 1)
+	table.sweep(now)
+	assert.Greater(t, table.cost("s", "silent", now), table.cost("s", "other", now))
+	for _, end := range ends {
+		end()
+	}
+	table.sweep(now)
+	_, kept := table.pending.Load(loadKey{"s", "silent"})
+	assert.False(t, kept)
+}
--- a/core/traffic/run.go
+++ b/core/traffic/run.go
@@ -191,6 +191,8 @@
 	}
 	request.Hops++
 	to := member.Peer{Member: target.Member, Address: target.Peer}
+	end := e.loads.begin(request.Service, target.Member.ID)
+	defer end()
 	response, delivered := e.options.Peers.Execute(ctx, to, request)
 	now := e.options.Clock.Now()
 	if !delivered {
