--- a/cmd/load.go
+++ b/cmd/load.go
@@ -84,7 +84,9 @@
 // loadOf returns the load that the file or the flags describe.
 func loadOf(c *cli.Command) (loadfile.Load, error) {
 	load := loadOfFlags(c)
-	if file := c.String("file"); file != "" {
+	file := c.String("file")
+	switch {
+	case file != "":
 		data, err := os.ReadFile(filepath.Clean(file))
 		if err != nil {
 			return loadfile.Load{}, err
@@ -92,8 +94,12 @@
 		if load, err = loadfile.Decode(file, data); err != nil {
 			return loadfile.Load{}, err
 		}
-	} else if c.String("service") == "" {
+	case c.String("service") == "":
 		return loadfile.Load{}, &usageError{eris.New("load: expected --file or --service")}
+	default:
+		if err := load.Validate(); err != nil {
+			return loadfile.Load{}, &usageError{err}
+		}
 	}
 	load.Deadline = cmp.Or(c.Duration("deadline"), load.Deadline)
 	return load, nil
--- a/cmd/main_test.go
+++ b/cmd/main_test.go
@@ -15,6 +15,10 @@
 	}{
 		{"version", []string{"galenaridge", "version"}, 0},
 		{"show without an instance", []string{"galenaridge", "show", "--operator", "127.0.0.1:1"}, exitFailure},
+		{"load without a service", []string{"galenaridge", "load", "--entry", "127.0.0.1:1"}, exitUsage},
+		{"load of a bad service", []string{"galenaridge", "load", "--entry", "127.0.0.1:1", "--service", "Bad name"}, exitUsage},
+		{"load with a negative rate", []string{"galenaridge", "load", "--entry", "127.0.0.1:1", "--service", "s", "--rate", "-1"}, exitUsage},
+		{"load of a missing file", []string{"galenaridge", "load", "--entry", "127.0.0.1:1", "--file", "missing.yaml"}, exitUsage},
 		{"unknown flag", []string{"galenaridge", "version", "--nope"}, exitFailure},
 	}
 	for _, tt := range tests {
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/rand"
+	"fmt"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -323,3 +325,27 @@
 		}
 	})
 }
+
+// BenchmarkRecordMemory reports the heap that a finished record takes with the
+// answer of 512 bytes that it keeps.
+func BenchmarkRecordMemory(b *testing.B) {
+	heap := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	const records = 20_000
+	for b.Loop() {
+		before := heap()
+		l := newTestLedger(b, func(o *Options) { o.Records, o.Memory, o.Body = 1<<30, 1<<40, 64<<10 })
+		token, err := l.Mint(start, service)
+		require.NoError(b, err)
+		for i := range records {
+			a := Arrival{Token: token, Key: fleet.Key(fmt.Sprintf("%032d", i)), Service: service, Fingerprint: Fingerprint{1}}
+			l.Finish(start, l.Begin(start, a).Ticket, done(strings.Repeat("x", 512)))
+		}
+		b.ReportMetric(float64(heap()-before)/records, "heap-bytes/record")
+		require.Equal(b, records, l.Len())
+	}
+}
--- a/io/document/document_test.go
+++ b/io/document/document_test.go
@@ -206,4 +206,5 @@
 		_, err := DecodeConfig("c.yaml", data)
 		require.NoError(b, err)
 	}
+	b.ReportMetric(float64(len(data)), "document-bytes")
 }
--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -42,6 +42,18 @@
 	Tables []Table
 	// Plots are written under the name of the file without its ending.
 	Plots map[string]*plot.Plot
+	// before and after are the load averages of the machine over a minute.
+	before, after string
+}
+
+// loadAverage returns the load of the machine over the last minute; the
+// figures of latency are of little use when it exceeds the cores.
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.SplitN(string(text), " ", 2)[0]
 }
 
 // section measures one kind of figures.
@@ -100,7 +112,9 @@
 			continue
 		}
 		o.Say("section " + s.name)
+		before := loadAverage()
 		result, err := s.run(ctx, o)
+		result.before, result.after = before, loadAverage()
 		if err != nil {
 			failures = append(failures, s.name+": "+err.Error())
 			result.Tables = append(result.Tables, Table{Notes: []string{"This section failed: " + err.Error()}})
