--- a/core/member/contact.go
+++ b/core/member/contact.go
@@ -91,27 +91,39 @@
 
 // bootstrap decides, until the first panel is chosen, whether the records known
 // are complete enough to choose one. An instance that was introduced to a fleet
-// must know as many members as a majority of the listing. Otherwise, when both
-// sides of a partition have fenced each other, each would form a fleet of new
-// incarnations. An instance that found no active member must know all listed
+// must know as many members as a majority of the listing, those that do not
+// answer it left out. Otherwise, when both sides of a partition have fenced each
+// other, each would form a fleet of new incarnations. An instance that found no active member must know all listed
 // instances, or after some patience a majority of them, so that two halves of a
 // fleet that starts while the network is cut do not both begin.
 func (s *State) bootstrap(now time.Time) {
 	if s.committed.number > 0 {
 		return
 	}
-	introduced := s.contacts.introduced && 2*len(s.known().ids) > s.contacts.live()
+	introduced := s.contacts.introduced && 2*s.reachable(now) > s.contacts.live()
 	s.contacts.bootstrapped = introduced || s.complete(now)
 }
 
+// reachable counts the instances that have not ended, this one included, without
+// those that were found unresponsive.
+func (s *State) reachable(now time.Time) int {
+	ids := make(map[fleet.InstanceID]bool)
+	for _, e := range s.sorted {
+		if !e.Status.Ended() && !now.Before(e.answering.avoidUntil) {
+			ids[e.Member.ID] = true
+		}
+	}
+	return len(ids)
+}
+
 // complete reports whether enough of the listed instances are known.
 func (s *State) complete(now time.Time) bool {
-	patient := now.Sub(s.contacts.beganAt) >= bootstrapPatience
+	waited := now.Sub(s.contacts.beganAt)
 	total, found, current := s.countContacts()
-	if total == 0 || !current && !patient {
+	if total == 0 || !current && waited < listingPatience {
 		return false
 	}
-	return found == total || patient && 2*found > total
+	return found == total || waited >= silentPatience && 2*found > total
 }
 
 // live returns the number of listed instances that are not leaving.
--- a/core/member/doc.go
+++ b/core/member/doc.go
@@ -45,9 +45,9 @@
 //   - If a member and a majority of its witnesses are lost together, the
 //     platform's listing decides. A listing that drops live members, whom the
 //     observer cannot reach either, fences them without a certificate.
-//   - A first start of the fleet while the network is partitioned waits for a
-//     majority of the listed instances. It is not safe if instances start from
-//     different listings and no member is active yet.
+//   - A first start of the fleet while the network is partitioned waits for all
+//     listed instances, or after a minute for a majority of them. Then it is not
+//     safe if others started from an older listing and are still cut off.
 //   - While a listing names more dead than living instances, nobody joins.
 //   - A member that the listing never named, and whose witnesses are lost with
 //     it, stays in the records until a listing that is 30 s newer.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -296,7 +296,9 @@
 		name     string
 		contacts []fleet.Address
 		listing  *fleet.Listing
-		// introduced lists the members whose records an active one sends.
+		// joining lists the members whose records a joining one sends, and
+		// introduced those that an active one sends.
+		joining    []fleet.InstanceID
 		introduced []fleet.InstanceID
 		wait       time.Duration
 		active     bool
@@ -305,6 +307,8 @@
 		{name: "alone in the listing", listing: listed("i"), wait: time.Second, active: true},
 		{name: "listing is older than this instance", listing: listed(), wait: time.Second},
 		{name: "listing stays empty", listing: listed(), wait: 11 * time.Second, active: true},
+		{name: "one of three does not answer", listing: listed("i", "a", "b"), joining: []fleet.InstanceID{"a"}, wait: 50 * time.Second},
+		{name: "one of three stays silent", listing: listed("i", "a", "b"), joining: []fleet.InstanceID{"a"}, wait: 62 * time.Second, active: true},
 		{name: "others do not answer", listing: listed("i", "a", "b"), wait: time.Minute},
 		{name: "contacts do not answer", contacts: []fleet.Address{"a"}, wait: time.Minute},
 		{name: "only contact is itself", contacts: []fleet.Address{"i"}, wait: time.Second, active: true},
@@ -324,6 +328,10 @@
 				m := fleet.Member{ID: id, Incarnation: 1}
 				records = append(records, member.Record{Member: m, Status: member.Active, Peer: fleet.Address(id)})
 			}
+			for _, id := range tt.joining {
+				m := fleet.Member{ID: id, Incarnation: 1}
+				records = append(records, member.Record{Member: m, Peer: fleet.Address(id)})
+			}
 			s.HandleSync(epoch, member.SyncRequest{Records: records})
 			for now := epoch; now.Sub(epoch) < tt.wait; now = now.Add(tick) {
 				for _, out := range s.Tick(now).Heartbeats {
--- a/core/member/options.go
+++ b/core/member/options.go
@@ -61,9 +61,13 @@
 	joinContacts = 3
 	// contactRetry is the wait before one contact is asked again.
 	contactRetry = time.Second
-	// bootstrapPatience is how long a first start waits for listed instances
-	// that do not answer; a listing may still name dead ones.
-	bootstrapPatience = 10 * time.Second
+	// listingPatience is how long a first start waits for a listing that names
+	// this instance.
+	listingPatience = 10 * time.Second
+	// silentPatience is how long a first start waits for listed instances that
+	// do not answer. The platform drops dead ones sooner; one that is only cut
+	// off may be active, since it may have started from an older listing.
+	silentPatience = time.Minute
 	// panelEvery is the interval at which a working panel is reviewed, which
 	// takes time in proportion to the fleet.
 	panelEvery = 200 * time.Millisecond
