--- a/core/control/service.go
+++ b/core/control/service.go
@@ -164,6 +164,20 @@
 	s.noteConditions(n)
 }
 
+// drainLeaving tells the detection which servers leave. It knows a server only
+// after the first reading.
+func (s *service) drainLeaving(n *node, now time.Time) {
+	for id, owned := range s.held {
+		if owned.Listed.Presence == fleet.Leaving {
+			n.runHealth(now, s, s.health.Drain(now, id))
+		}
+	}
+	for _, id := range s.announced {
+		n.runHealth(now, s, s.health.Drain(now, id))
+	}
+	s.announced = nil
+}
+
 // readings returns the counters of the held servers in order of id, and notes
 // whether any of them has work.
 func (s *service) readings(now time.Time) []health.Reading {
@@ -183,20 +197,6 @@
 	return readings
 }
 
-// drainLeaving tells the detection which servers leave. It knows a server only
-// after the first reading.
-func (s *service) drainLeaving(n *node, now time.Time) {
-	for id, owned := range s.held {
-		if owned.Listed.Presence == fleet.Leaving {
-			n.runHealth(now, s, s.health.Drain(now, id))
-		}
-	}
-	for _, id := range s.announced {
-		n.runHealth(now, s, s.health.Drain(now, id))
-	}
-	s.announced = nil
-}
-
 // taking counts the servers of the service that take work, as far as known
 // here.
 func (s *service) taking() fleet.Servers {
