--- a/standin/measure/micro.go
+++ b/standin/measure/micro.go
@@ -11,8 +11,8 @@
 // microPackages hold the benchmarks that the page lists.
 func microPackages() []string {
 	return []string{
-		"./core/member", "./core/ownership", "./core/config", "./core/once", "./core/admission", "./core/traffic",
-		"./core/control", "./io/document", "./io/platform", "./io/upstream", "./io/caller", "./io/process",
+		"./core/member", "./core/ownership", "./core/config", "./core/once", "./core/admission",
+		"./io/document", "./io/platform", "./io/upstream", "./io/caller", "./io/peer", "./core/health", "./tests/performance",
 	}
 }
 
--- a/io/process/bench_test.go
+++ b/tests/performance/request_test.go
@@ -1,4 +1,4 @@
-package process_test
+package performance
 
 import (
 	"bytes"
