Copy headers of forwarded requests in fewer pieces and without a timer

A request that is passed on copied each header three times and made a timer for a connection that is almost always ready. BenchmarkForward (encoding, decoding, ten headers): 98 allocations before, 53 after; times do not differ beyond the noise of a busy machine.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -128,6 +128,10 @@
 	if err != nil {
 		return nil, false
 	}
+	if conn.GetState() == connectivity.Ready {
+		// Almost always; no timer is needed.
+		return peerpb.NewPeerClient(conn), true
+	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	for {
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -9,6 +9,7 @@
 	"galenaridge/core/member"
 	"galenaridge/core/once"
 	"galenaridge/core/ownership"
+	"galenaridge/io/http1"
 	"galenaridge/io/peer/peerpb"
 )
 
@@ -238,20 +239,36 @@
 	}
 }
 
+// toHeaders copies headers into three pieces of memory instead of three for
+// each header.
 func toHeaders(headers []exchange.Header) []*peerpb.Header {
-	out := make([]*peerpb.Header, 0, len(headers))
+	size := 0
 	for _, h := range headers {
-		out = append(out, &peerpb.Header{Name: []byte(h.Name), Value: []byte(h.Value)})
+		size += len(h.Name) + len(h.Value)
+	}
+	text := make([]byte, 0, size)
+	messages := make([]peerpb.Header, len(headers))
+	out := make([]*peerpb.Header, len(headers))
+	for i, h := range headers {
+		begin := len(text)
+		text = append(text, h.Name...)
+		middle := len(text)
+		text = append(text, h.Value...)
+		messages[i].Name, messages[i].Value = text[begin:middle:middle], text[middle:len(text):len(text)]
+		out[i] = &messages[i]
 	}
 	return out
 }
 
 func fromHeaders(headers []*peerpb.Header) []exchange.Header {
-	out := make([]exchange.Header, 0, len(headers))
-	for _, h := range headers {
-		out = append(out, exchange.Header{Name: string(h.GetName()), Value: string(h.GetValue())})
+	all := func(yield func(name, value []byte) bool) {
+		for _, h := range headers {
+			if !yield(h.GetName(), h.GetValue()) {
+				return
+			}
+		}
 	}
-	return out
+	return http1.CopyHeaders(all, func([]byte) bool { return true })
 }
 
 func toResponse(r exchange.Response) *peerpb.ExecuteReply {
