Require enough good requests for each server in noise

The check of most requests had been narrowed to some, because cold servers refuse many in a short run; without work on each server a run proves nothing. Bound: 20 good requests for each server.

--- a/standin/proof/noise.go
+++ b/standin/proof/noise.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"fmt"
 	"context"
 	"time"
 
@@ -14,6 +15,8 @@
 )
 
 const (
+	// noiseWork is the least number of good requests for each server in noise.
+	noiseWork = 20
 	// noiseMean keeps the burst within what the machine bears.
 	noiseMean = 100 * time.Millisecond
 	// noiseLoad is the share of what the servers bear outside of the burst.
@@ -81,8 +84,10 @@
 	for _, e := range ejections[:min(len(ejections), 10)] {
 		v.note("%s ejected as %s %.2fs after the start of the noise", e.Server, e.Reason, e.At.Sub(began).Seconds())
 	}
-	// All servers start cold, so a short run refuses many requests.
-	v.check(report.Total.Good > 0, "some", "%d of %d requests good in noise", report.Total.Good, report.Total.Offered)
+	// All servers start cold, so a short run refuses many requests; what the
+	// proof needs is enough work on each server to be judged by.
+	enough := noiseWork * len(s.fleet.Servers())
+	v.check(report.Total.Good >= enough, fmt.Sprintf(">= %d", enough), "%d of %d requests good in noise", report.Total.Good, report.Total.Offered)
 	return nil
 }
 
