--- a/standin/proof/noise.go
+++ b/standin/proof/noise.go
@@ -1,8 +1,8 @@
 package proof
 
 import (
-	"fmt"
 	"context"
+	"fmt"
 	"time"
 
 	"galenaridge/bench"
