--- a/core/member/commands.go
+++ b/core/member/commands.go
@@ -16,6 +16,7 @@
 	}
 	s.renewLease(now, &effects)
 	s.leaveLostPanel(now, &effects)
+	s.markUnresponsive(now)
 	s.bootstrap(now)
 	s.contact(now, &effects)
 	s.maintainPanel(now, &effects)
--- a/core/member/panel.go
+++ b/core/member/panel.go
@@ -15,7 +15,6 @@
 // new panel is proposed only once all of its members and a majority of the old
 // one acknowledge, so that the change does not interrupt the lease.
 func (s *State) maintainPanel(now time.Time, effects *Effects) {
-	s.markUnresponsive(now)
 	if s.changing() || !s.contacts.bootstrapped || s.self.Status == Left {
 		s.prospects = nil
 		return
