--- a/standin/demo/summary.go
+++ b/standin/demo/summary.go
@@ -1,17 +1,16 @@
 package demo
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
-	"os"
 	"strings"
 	"time"
 
 	"galenaridge/bench"
 	"galenaridge/core/fleet"
+	"galenaridge/core/health"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/logline"
 )
 
 // Summary is what a demo showed.
@@ -24,8 +23,7 @@
 	// FalseEjections counts ejections of servers without a fault.
 	FalseEjections int
 	Peaks          []Peak
-	// Cut counts requests that a planned stop cut, as far as they were lost on
-	// the stopped instance.
+	// StopFailed is why the planned stop did not end well; nil if it did.
 	StopFailed error
 }
 
@@ -105,47 +103,26 @@
 		}
 		summary.Peaks = append(summary.Peaks, peak)
 	}
-	for _, change := range readChanges(f.LogFiles()) {
-		if change.After != "ejected" || change.Before == "trial" {
-			continue
-		}
-		if change.Server != met.gray {
-			summary.FalseEjections++
-			continue
-		}
-		if took := change.Time.Sub(met.grayAt); summary.Detection == 0 || took < summary.Detection {
-			summary.Detection = took
+	for _, file := range f.LogFiles() {
+		for _, line := range logline.Read(file, time.Time{}) {
+			summary.noteEjection(line, met)
 		}
 	}
 	return summary, nil
 }
 
-// change is a log line about the condition of a server.
-type change struct {
-	Time    time.Time      `json:"time"`
-	Message string         `json:"msg"`
-	Server  fleet.ServerID `json:"server"`
-	Before  string         `json:"before"`
-	After   string         `json:"after"`
-}
-
-// readChanges returns the changes of conditions in all logs; lines that are
-// cut off by a kill are passed over.
-func readChanges(files map[string]string) []change {
-	var changes []change
-	for _, name := range files {
-		file, err := os.Open(name)
-		if err != nil {
-			continue
-		}
-		lines := bufio.NewScanner(file)
-		for lines.Scan() {
-			var c change
-			if json.Unmarshal(lines.Bytes(), &c) == nil && c.Message == "server condition changed" {
-				changes = append(changes, c)
-			}
-		}
-		_ = file.Close()
+// noteEjection takes a log line: the ejection of the stalled server, or a false
+// one.
+func (s *Summary) noteEjection(line logline.Line, met faults) {
+	ejected := line.Message == logline.ConditionChanged && line.After == health.Ejected.String()
+	if !ejected || line.Before == health.Trial.String() {
+		return
+	}
+	if line.Server != met.gray {
+		s.FalseEjections++
+		return
+	}
+	if took := line.Time.Sub(met.grayAt); s.Detection == 0 || took < s.Detection {
+		s.Detection = took
 	}
-	return changes
 }
--- /dev/null
+++ b/standin/demo/summary_test.go
@@ -0,0 +1,63 @@
+package demo
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/bench"
+	"galenaridge/core/fleet"
+	"galenaridge/standin/logline"
+)
+
+// Guards against a detection time of another server, and against relapses that
+// count as false ejections.
+func TestNoteEjection(t *testing.T) {
+	at := time.Unix(100, 0)
+	ejected := func(server fleet.ServerID, before string, after time.Duration) logline.Line {
+		return logline.Line{Message: logline.ConditionChanged, Server: server, Before: before, After: "ejected", Time: at.Add(after)}
+	}
+	tests := []struct {
+		name      string
+		lines     []logline.Line
+		detection time.Duration
+		falsely   int
+	}{
+		{"none", nil, 0, 0},
+		{"stalled server", []logline.Line{ejected("gray", "suspect", time.Second)}, time.Second, 0},
+		{"first of two", []logline.Line{ejected("gray", "suspect", 3*time.Second), ejected("gray", "suspect", time.Second)}, time.Second, 0},
+		{"after a trial", []logline.Line{ejected("gray", "trial", time.Second)}, 0, 0},
+		{"healthy server", []logline.Line{ejected("other", "suspect", time.Second)}, 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var s Summary
+			for _, line := range tt.lines {
+				s.noteEjection(line, faults{gray: "gray", grayAt: at})
+			}
+			require.Equal(t, tt.detection, s.Detection)
+			require.Equal(t, tt.falsely, s.FalseEjections)
+		})
+	}
+}
+
+// Guards against a demo that passes although a promise was broken.
+func TestBroken(t *testing.T) {
+	tests := []struct {
+		name    string
+		summary Summary
+		broken  int
+	}{
+		{"nothing", Summary{Peaks: []Peak{{Requests: 4, Slots: 4, Conns: 4, Limit: 330}}}, 0},
+		{"run twice", Summary{Verdict: bench.Verdict{RunTwice: []fleet.Key{"a"}}}, 1},
+		{"false not-run", Summary{Verdict: bench.Verdict{FalseNotRun: []fleet.Key{"a"}}}, 1},
+		{"false done", Summary{Verdict: bench.Verdict{FalseDone: []fleet.Key{"a"}}}, 1},
+		{"wrong answer", Summary{Report: bench.Report{Total: bench.Second{Wrong: 1}}}, 1},
+		{"slots", Summary{Peaks: []Peak{{Requests: 5, Slots: 4, Limit: 330}}}, 1},
+		{"connections", Summary{Peaks: []Peak{{Slots: 4, Conns: 331, Limit: 330}}}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { require.Len(t, tt.summary.Broken(), tt.broken) })
+	}
+}
