--- a/cmd/main_test.go
+++ b/cmd/main_test.go
@@ -19,7 +19,10 @@
 		{"load of a bad service", []string{"galenaridge", "load", "--entry", "127.0.0.1:1", "--service", "Bad name"}, exitUsage},
 		{"load with a negative rate", []string{"galenaridge", "load", "--entry", "127.0.0.1:1", "--service", "s", "--rate", "-1"}, exitUsage},
 		{"load of a missing file", []string{"galenaridge", "load", "--entry", "127.0.0.1:1", "--file", "missing.yaml"}, exitUsage},
-		{"unknown flag", []string{"galenaridge", "version", "--nope"}, exitFailure},
+		{"help", []string{"galenaridge", "--help"}, 0},
+		{"no command", []string{"galenaridge"}, 0},
+		{"unknown command", []string{"galenaridge", "nope"}, exitUsage},
+		{"unknown flag", []string{"galenaridge", "version", "--nope"}, exitUsage},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
