Look permits up in one place and hash the own rank once

Cause: the end of a permit was searched in three places (the view of the holder, the pool's servers and the state for operators), and each tick hashed the instance's own rank again for each member of its failure domain. Change: floor.Expiry serves all three; watchRank computes its own score once.

--- a/core/control/documents.go
+++ b/core/control/documents.go
@@ -161,12 +161,13 @@
 	view := n.members.View()
 	self := view.Self()
 	resource := fleet.Resource("watch/" + string(self.Domain))
+	own := fleet.Score(self.Member.ID, resource)
 	rank := 0
 	for _, info := range view.Members() {
 		if info.Domain != self.Domain || info.Status.Ended() || info.Suspected || info.Member.ID == self.Member.ID {
 			continue
 		}
-		if fleet.Score(info.Member.ID, resource) > fleet.Score(self.Member.ID, resource) {
+		if fleet.Score(info.Member.ID, resource) > own {
 			rank++
 		}
 	}
--- a/core/control/service.go
+++ b/core/control/service.go
@@ -267,12 +267,8 @@
 	if condition != health.Ejected && condition != health.Trial {
 		return time.Time{}
 	}
-	for _, permit := range permits {
-		if permit.Server == id {
-			return permit.Expires
-		}
-	}
-	return time.Time{}
+	expires, _ := floor.Expiry(permits, id)
+	return expires
 }
 
 // useOf says how a server in a condition may be used.
--- a/core/floor/queries.go
+++ b/core/floor/queries.go
@@ -129,10 +129,20 @@
 
 // Valid reports whether the owner may eject the server at this time.
 func (v HolderView) Valid(id fleet.ServerID, now time.Time) bool {
-	i, found := slices.BinarySearchFunc(v.permits, id, func(p Permit, id fleet.ServerID) int {
+	expires, found := Expiry(v.permits, id)
+	return found && now.Before(expires)
+}
+
+// Expiry returns the end of the permit of a server, and false if there is
+// none. The permits are in order of server.
+func Expiry(permits []Permit, id fleet.ServerID) (time.Time, bool) {
+	i, found := slices.BinarySearchFunc(permits, id, func(p Permit, id fleet.ServerID) int {
 		return cmp.Compare(p.Server, id)
 	})
-	return found && now.Before(v.permits[i].Expires)
+	if !found {
+		return time.Time{}, false
+	}
+	return permits[i].Expires, true
 }
 
 // Permits returns the permits in order of server.
--- a/io/process/state.go
+++ b/io/process/state.go
@@ -7,6 +7,7 @@
 
 	"galenaridge/core/control"
 	"galenaridge/core/fleet"
+	"galenaridge/core/floor"
 	"galenaridge/core/health"
 	"galenaridge/io/operator"
 )
@@ -153,12 +154,11 @@
 }
 
 func permitLeft(service *control.Service, server fleet.ServerID, now time.Time) int64 {
-	for _, permit := range service.Permits.Permits() {
-		if permit.Server == server {
-			return permit.Expires.Sub(now).Milliseconds()
-		}
+	expires, found := floor.Expiry(service.Permits.Permits(), server)
+	if !found {
+		return 0
 	}
-	return 0
+	return expires.Sub(now).Milliseconds()
 }
 
 // weightOf is the share of work that a server in a condition may get.
