Choose servers by the probability that they fail

Ruled out: longer holds, which leave sound servers unused. Change: each server has a probability of failing that relaxes with time, falls with successes, and rises with failures and with the age of what is outstanding. Idempotent requests, which can be hedged, go where least is known.

--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -46,15 +46,13 @@
 func (p *Pool) Pick(now time.Time, ask Ask) (*Lease, Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if ask.Idempotent {
-		p.idempotentAt = now
-	}
 	expected := p.usual.expected(ask.Kind, ask.Objective)
-	chosen, trial := p.choose(now, ask)
+	chosen, trial := p.choose(now, ask, expected)
 	if chosen == nil {
 		return nil, NoServer
 	}
-	if chosen.wait(now, expected)+expected/2 > ask.Left {
+	waited := chosen.wait(now, expected)
+	if waited+expected/2 > ask.Left {
 		return nil, NoRoom
 	}
 	lease := &Lease{
@@ -65,75 +63,68 @@
 		server:     chosen,
 		kind:       ask.Kind,
 		started:    now,
-		stallAfter: time.Duration(stallFactor*float64(expected)) + chosen.wait(now, expected) + stallSlack,
+		waited:     waited,
+		stallAfter: time.Duration(stallFactor*float64(expected)) + waited + stallSlack,
 	}
 	chosen.leases = append(chosen.leases, lease)
-	if trial {
-		chosen.trialAt = now.Add(trialPause)
-	}
+	chosen.triedAt = now
 	return lease, Chosen
 }
 
-// choose returns the server for a request and whether it is a trial.
-func (p *Pool) choose(now time.Time, ask Ask) (*server, bool) {
-	var best, trial, spare *server
-	var bestCost, trialCost, spareCost float64
-	hasTrials := now.Sub(p.idempotentAt) < trialMemory
+// choose returns the server with the lowest cost, and whether the request is a
+// trial of a server that is suspected.
+func (p *Pool) choose(now time.Time, ask Ask, expected time.Duration) (*server, bool) {
+	var best, trial *server
+	var bestCost, trialCost float64
 	for _, s := range p.list {
 		if excluded(ask.Exclude, s.info.Incarnation) {
 			continue
 		}
-		cost := s.cost(now, p.options.Domain) + tieBreak*p.options.Random.Float64()
-		condition := s.condition(now)
-		switch {
-		case condition == Healthy:
-			if best == nil || cost < bestCost {
-				best, bestCost = s, cost
-			}
-			continue
-		case condition == Suspected && len(s.leases) == 0 && p.mayTry(now, s, ask, hasTrials):
-			if trial == nil || cost < trialCost {
-				trial, trialCost = s, cost
-			}
+		failing := s.failing(now)
+		cost := s.load(now, expected, ask.Objective) + tieBreak*p.options.Random.Float64()
+		if s.info.Domain != p.options.Domain {
+			cost += distanceCost
+		}
+		if now.Before(s.cutUntil) {
+			cost += cutCost
+		}
+		if ask.Trial && s.mayTry(now, failing) && (trial == nil || cost < trialCost) {
+			trial, trialCost = s, cost
 		}
-		cost += conditionCost[condition]
-		if spare == nil || cost < spareCost {
-			spare, spareCost = s, cost
+		if ask.Trial {
+			cost += hedgedShare*failing - staleBonus*s.stale(now)
+		} else {
+			cost += failing
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
 		}
 	}
-	switch {
-	case trial != nil:
+	if trial != nil {
 		return trial, true
-	case best == nil || (spare != nil && bestCost > spareCost):
-		return spare, false
-	default:
-		return best, false
 	}
+	return best, false
 }
 
-// mayTry reports whether a request may be the trial of a suspected server.
-func (p *Pool) mayTry(now time.Time, s *server, ask Ask, hasTrials bool) bool {
-	if ask.Idempotent {
-		return ask.Trial && !now.Before(s.trialAt)
+// mayTry reports whether a suspected server may get a trial.
+func (s *server) mayTry(now time.Time, failing float64) bool {
+	if failing < clearBelow || len(s.leases) > 0 || now.Before(s.cutUntil) {
+		return false
 	}
-	due := s.dueAt
-	if hasTrials {
-		due = due.Add(longHold - shortHold)
+	pause := min(trialPause<<min(s.stalls, maxDoublings), maxTrialPause)
+	return now.Sub(s.triedAt) >= pause
+}
+
+// stale returns how little is known of the server, from 0 to 1.
+func (s *server) stale(now time.Time) float64 {
+	if len(s.leases) > 0 {
+		return 0
 	}
-	return !now.Before(due)
+	return min(now.Sub(s.triedAt).Seconds()/staleTime.Seconds(), 1)
 }
 
 // tieBreak spreads requests over servers with the same cost.
-const tieBreak = 0.01
-
-// conditionCost is added for servers that should be used only when the others
-// are full.
-var conditionCost = [...]float64{
-	Healthy:   0,
-	Stalling:  4,
-	Suspected: 4,
-	Cut:       8,
-}
+const tieBreak = 0.003
 
 func excluded(list []registry.Incarnation, id registry.Incarnation) bool {
 	for _, e := range list {
@@ -165,29 +156,45 @@
 	switch result {
 	case Succeeded:
 		p.succeeded(now, l, took)
-	case Failed, Stalled:
-		s.strike(now, shortHold)
-		p.options.Events.Suspected(s.info, result, took, s.strikes)
+	case Stalled:
+		s.stalls++
+		s.belief = s.belief.stalled(l.started)
+	case Failed:
+		s.belief = s.belief.erred(now)
 	case Shed:
 		s.reported = Load{Running: int(s.info.Slots), Waiting: int(s.info.Slots), Slots: s.info.Slots}
 		s.reportedAt = now
 	case Unreachable, Misdirected:
 		s.cuts++
-		s.cutUntil = now.Add(min(cutPause<<min(s.cuts-1, maxDoublings), maxCutPause))
-		p.options.Events.Suspected(s.info, result, took, s.cuts)
+		s.cutUntil = now.Add(min(cutPause<<min(s.cuts-1, maxCutDoublings), maxCutPause))
 	case Abandoned:
 	}
+	p.tell(now, s, result, took)
+}
+
+// tell reports a suspicion that begins or ends.
+func (p *Pool) tell(now time.Time, s *server, result Result, took time.Duration) {
+	failing := s.belief.now(now)
+	switch {
+	case !s.suspected && failing >= suspectAbove:
+		s.suspected, s.since = true, now
+		p.options.Events.Suspected(s.info, result, took, failing)
+	case s.suspected && failing < clearBelow:
+		s.suspected = false
+		p.options.Events.Cleared(s.info, now.Sub(s.since))
+	case result == Unreachable || result == Misdirected:
+		p.options.Events.Suspected(s.info, result, took, failing)
+	}
 }
 
 // succeeded takes a whole answer.
 func (p *Pool) succeeded(now time.Time, l *Lease, took time.Duration) {
 	s := l.server
 	s.cuts = 0
+	s.stalls = 0
 	s.cutUntil = time.Time{}
-	if s.pass(l.started) {
-		p.options.Events.Cleared(s.info, now.Sub(s.since))
-	}
-	ratio := float64(took) / float64(max(l.Expected, time.Millisecond))
+	s.belief = s.belief.passed(l.started)
+	ratio := float64(took-l.waited) / float64(max(l.Expected, time.Millisecond))
 	s.slowness += slowMemory * (min(ratio, maxSlowness) - s.slowness)
 	s.slowness = max(s.slowness, 1)
 	p.usual.observe(l.kind, l.Expected, took)
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -12,43 +12,45 @@
 	// reportLife is how long a load that a server stated is believed; an answer
 	// takes about as long as the next change of the load.
 	reportLife = 150 * time.Millisecond
-	// queueCost weighs requests that wait at a server against those that run.
-	queueCost = 2.0
-	// distanceCost is that of another failure domain, in shares of a server's
-	// slots: bytes between failure domains are paid for.
-	distanceCost = 0.75
+	// Costs are in probabilities of a failed request, which is the worst that a
+	// choice can bring. busyCost spreads requests over idle servers.
+	busyCost = 0.01
+	// lateCost and lateSquareCost weigh the time that a request waits or takes
+	// longer, as a share of the time that its objective leaves.
+	lateCost       = 0.1
+	lateSquareCost = 0.5
+	// distanceCost is that of another failure domain: bytes between failure
+	// domains are paid for.
+	distanceCost = 0.03
 	// coldFactor and coldCost weigh a server that started a short time ago; it
 	// works at about half its speed.
 	coldFactor = 2.0
-	coldCost   = 0.5
+	coldCost   = 0.01
+	// cutCost is that of a server that could not be reached a moment ago.
+	cutCost = 2.0
+	// hedgedShare is the weight of a failing server for a request that can be
+	// sent to a second one.
+	hedgedShare = 0.15
+	// staleBonus is what an idempotent request gains where nothing was learnt
+	// for staleTime or longer; it finds out about servers for the others.
+	staleBonus = 0.04
+	staleTime  = 2 * time.Second
+	// trialPause is the time between trials of a suspected server; it doubles
+	// with each that brings no answer.
+	trialPause    = 500 * time.Millisecond
+	maxTrialPause = 2 * time.Second
+	maxDoublings  = 2
 	// stallFactor is how many times the usual duration makes an attempt stalled.
 	// One request in a hundred takes five times as long on a sound server.
-	stallFactor = 2.2
+	stallFactor = 2.0
 	// stallSlack covers the delay of the network and of other failure domains.
-	stallSlack = 40 * time.Millisecond
-	// trialPause is the time before the first trial of a suspected server; it
-	// doubles with each failure.
-	trialPause    = 400 * time.Millisecond
-	maxTrialPause = 1600 * time.Millisecond
-	// shortHold and longHold are the times before a suspected server may get a
-	// request that is not idempotent, in services without and with idempotent
-	// requests.
-	shortHold = 2 * time.Second
-	longHold  = 6 * time.Second
-	maxHold   = 12 * time.Second
-	// maxDoublings bounds the growth of pauses.
-	maxDoublings = 3
-	// passesNeeded clears a suspicion: a server that stalls nine requests in ten
-	// passes two trials in a row once in a hundred times.
-	passesNeeded = 2
-	// strikeMemory is how long failures add up.
-	strikeMemory = 20 * time.Second
+	stallSlack = 30 * time.Millisecond
 	// cutPause is how long a server that could not be reached is left out; it
 	// doubles with each failure.
 	cutPause    = 500 * time.Millisecond
 	maxCutPause = 4 * time.Second
-	// trialMemory is how long a service counts as one with idempotent requests.
-	trialMemory = 4 * time.Second
+	// maxCutDoublings bounds its growth.
+	maxCutDoublings = 3
 	// slowMemory is the weight of one answer in the slowness of a server.
 	slowMemory = 0.15
 	// maxSlowness bounds the slowness.
@@ -63,7 +65,7 @@
 // Events takes the changes of belief. Its methods are called under the lock of
 // the pool and must not block.
 type Events interface {
-	Suspected(info registry.Server, cause Result, age time.Duration, strikes int)
+	Suspected(info registry.Server, cause Result, age time.Duration, failing float64)
 	Cleared(info registry.Server, after time.Duration)
 }
 
@@ -82,9 +84,7 @@
 	mu      sync.Mutex
 	servers map[registry.Incarnation]*server
 	list    []*server
-	// idempotentAt is when the last idempotent request came.
-	idempotentAt time.Time
-	usual        estimates
+	usual   estimates
 }
 
 // NewPool returns a pool without servers.
@@ -100,10 +100,12 @@
 	// Expected is the usual duration.
 	Expected time.Duration
 
-	pool       *Pool
-	server     *server
-	kind       Kind
-	started    time.Time
+	pool    *Pool
+	server  *server
+	kind    Kind
+	started time.Time
+	// waited is how long the attempt waits for a slot, as far as is known.
+	waited     time.Duration
 	stallAfter time.Duration
 	done       bool
 }
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -15,19 +15,15 @@
 	// reported is the load that the server stated last.
 	reported   Load
 	reportedAt time.Time
-	// suspected says that the server failed since its last trials succeeded.
+	// belief is what finished attempts tell; suspected is whether it was logged
+	// as a suspicion.
+	belief    belief
 	suspected bool
 	since     time.Time
-	// trialAt is when the next trial may start, dueAt when requests that are
-	// not idempotent may be used as trials.
-	trialAt time.Time
-	dueAt   time.Time
-	// strikes counts the failures in a row of suspicions, passes the trials
-	// that succeeded since the last failure.
-	strikes int
-	passes  int
-	// struckAt is the last failure.
-	struckAt time.Time
+	// triedAt is when the last attempt began, stalls counts those in a row that
+	// brought no answer.
+	triedAt time.Time
+	stalls  int
 	// cutUntil is until when the server counts as unreachable from here.
 	cutUntil time.Time
 	cuts     int
@@ -43,7 +39,7 @@
 }
 
 func newServer(info registry.Server) *server {
-	return &server{info: info, slowness: 1}
+	return &server{info: info, slowness: 1, belief: belief{failing: firstBelief}}
 }
 
 // slots returns how many requests the server works on at a time.
@@ -58,45 +54,43 @@
 	return max(own, float64(s.reported.Running+s.reported.Waiting))
 }
 
-// stalling reports whether an attempt is outstanding for longer than usual.
-func (s *server) stalling(now time.Time) bool {
+// failing returns the probability that the server is failing, by what finished
+// and by the age of what is outstanding.
+func (s *server) failing(now time.Time) float64 {
+	failing := s.belief.now(now)
 	for _, l := range s.leases {
-		if now.Sub(l.started) > l.stallAfter {
-			return true
-		}
+		age := float64(now.Sub(l.started)-l.waited) / float64(l.Expected)
+		failing = scale(failing, outstanding(age))
 	}
-	return false
+	return failing
 }
 
 // condition returns what is believed of the server.
 func (s *server) condition(now time.Time) Condition {
-	switch {
+	switch failing := s.failing(now); {
 	case now.Before(s.cutUntil):
 		return Cut
-	case s.suspected:
-		return Suspected
-	case s.stalling(now):
+	case failing < suspectAbove:
+		return Healthy
+	case s.belief.now(now) < suspectAbove:
 		return Stalling
 	default:
-		return Healthy
+		return Suspected
 	}
 }
 
-// cost orders the servers of the same condition: the share of the slots that
-// are taken, with a surcharge for what makes an answer late or expensive.
-func (s *server) cost(now time.Time, domain fleet.Domain) float64 {
-	busy, slots := s.busy(now), s.slots()
-	cost := (busy + 1) / slots * s.slowness
-	if busy >= slots {
-		cost += queueCost * (busy - slots + 1) / slots
-	}
+// load returns the cost of the time that a request takes on the server, beyond
+// that on an idle one: the risk that the answer comes too late.
+func (s *server) load(now time.Time, expected, objective time.Duration) float64 {
+	cost := busyCost * s.busy(now) / s.slots()
+	late := s.wait(now, expected) + time.Duration((s.slowness-1)*float64(expected))
 	if now.Before(s.info.Warm) {
-		cost = coldFactor*cost + coldCost
+		late += time.Duration((coldFactor - 1) * float64(expected))
+		cost += coldCost
 	}
-	if s.info.Domain != domain {
-		cost += distanceCost
-	}
-	return cost
+	spare := max(objective-expected, expected, time.Millisecond)
+	share := float64(late) / float64(spare)
+	return cost + lateCost*share + lateSquareCost*share*share
 }
 
 // wait returns how long a new request waits for a slot.
@@ -108,36 +102,6 @@
 	return time.Duration(ahead / s.slots() * float64(expected))
 }
 
-// strike records a failure.
-func (s *server) strike(now time.Time, hold time.Duration) {
-	if now.Sub(s.struckAt) > strikeMemory {
-		s.strikes = 0
-	}
-	if !s.suspected {
-		s.suspected = true
-		s.since = now
-	}
-	s.strikes++
-	s.struckAt = now
-	s.passes = 0
-	factor := time.Duration(1) << min(s.strikes-1, maxDoublings)
-	s.trialAt = now.Add(min(trialPause*factor, maxTrialPause))
-	s.dueAt = now.Add(min(hold*factor, maxHold))
-}
-
-// pass records a success of an attempt that began after the last failure.
-func (s *server) pass(started time.Time) (cleared bool) {
-	if !s.suspected || started.Before(s.struckAt) {
-		return false
-	}
-	s.passes++
-	if s.passes < passesNeeded {
-		return false
-	}
-	s.suspected = false
-	return true
-}
-
 // remove takes a lease off the list.
 func (s *server) remove(lease *Lease) {
 	for i, l := range s.leases {
--- a/io/decision/line.go
+++ b/io/decision/line.go
@@ -64,13 +64,15 @@
 	Left     bool      `json:"caller_left,omitempty"`
 	Attempts []Attempt `json:"attempts,omitempty"`
 
-	Server string   `json:"server,omitempty"`
-	Peer   string   `json:"peer,omitempty"`
-	State  string   `json:"state,omitempty"`
-	Cause  string   `json:"cause,omitempty"`
-	Count  int64    `json:"count,omitempty"`
-	AgeMS  int64    `json:"age_ms,omitempty"`
-	List   []string `json:"list,omitempty"`
+	Server string `json:"server,omitempty"`
+	Peer   string `json:"peer,omitempty"`
+	State  string `json:"state,omitempty"`
+	Cause  string `json:"cause,omitempty"`
+	// Failing is the probability that the server fails its requests.
+	Failing float64  `json:"failing,omitempty"`
+	Count   int64    `json:"count,omitempty"`
+	AgeMS   int64    `json:"age_ms,omitempty"`
+	List    []string `json:"list,omitempty"`
 }
 
 // Attempt is one attempt of a request on a server.
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -64,14 +64,14 @@
 }
 
 // Suspected implements balance.Events.
-func (j *journal) Suspected(info registry.Server, cause balance.Result, age time.Duration, strikes int) {
+func (j *journal) Suspected(info registry.Server, cause balance.Result, age time.Duration, failing float64) {
 	j.lines.Write(decision.Line{
 		Event:   decision.ServerSuspected,
 		Service: string(info.Service),
 		Server:  string(info.ID),
 		Cause:   cause.String(),
 		AgeMS:   age.Milliseconds(),
-		Count:   int64(strikes),
+		Failing: failing,
 	})
 }
 
