Keep a current copy of the store on every instance

Instances that read the store ranked behind idle ones as soon as their copy aged, since idle ones stated no age. Ruled out: watches on all instances, which cost a call for each change. Change: beats state revision and age of the copy; an instance that sees a newer revision fetches the changes from that peer. An instance ranks behind others only if its copy is older than the best one by 2.5 s.

--- a/core/follow/follower.go
+++ b/core/follow/follower.go
@@ -22,8 +22,6 @@
 	// outageAfter is how long the store must have been away for servers to have
 	// lapsed meanwhile.
 	outageAfter = time.Second
-	// peerLimit bounds a question to a peer.
-	peerLimit = 300 * time.Millisecond
 )
 
 // Timer waits for a duration or until the context ends.
@@ -35,7 +33,6 @@
 // Options configure a Follower.
 type Options struct {
 	Store Store
-	Peers Peers
 	Sink  Sink
 	Clock Timer
 }
@@ -50,7 +47,6 @@
 	// goodAt is the last answer of the store, lostAt the first failure since.
 	goodAt time.Time
 	lostAt time.Time
-	next   int
 }
 
 // New returns a follower that is not enabled.
@@ -162,7 +158,8 @@
 	f.lostAt = time.Time{}
 }
 
-// failed waits before the next call to the store, and asks a peer meanwhile.
+// failed waits before the next call to the store. Peers hand on their copies
+// meanwhile, if they reach it.
 func (f *Follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -177,26 +174,5 @@
 		// from its history, and a listing shows lapsed servers as missing.
 		f.listed = false
 	}
-	f.ask(ctx)
 	_ = f.options.Clock.Sleep(ctx, retryPause)
 }
-
-// ask takes a copy from a peer, another one each time.
-func (f *Follower) ask(ctx context.Context) {
-	peers := f.options.Sink.Candidates()
-	if len(peers) == 0 {
-		return
-	}
-	f.next++
-	call, cancel := context.WithTimeout(ctx, peerLimit)
-	defer cancel()
-	listing, err := f.options.Peers.Fetch(call, peers[f.next%len(peers)], f.revision)
-	switch {
-	case errors.Is(err, ErrUnchanged):
-		f.options.Sink.Confirmed(listing.Age)
-	case err == nil && listing.Revision > f.revision:
-		f.revision = listing.Revision
-		f.options.Sink.Listed(listing, false)
-		f.options.Sink.Confirmed(listing.Age)
-	}
-}
--- a/core/follow/source.go
+++ b/core/follow/source.go
@@ -20,21 +20,21 @@
 	Routes *route.Document
 }
 
-// Listing is all that the store says.
+// Listing is what the store says: all of it, or the changes since a revision.
 type Listing struct {
 	Servers  []registry.Server
 	Routes   *route.Document
 	Revision fleet.Revision
 	// Age is how long ago the listing was confirmed; zero for the store itself.
 	Age time.Duration
+	// Partial listings have Changes in place of Servers and Routes.
+	Partial bool
+	Changes []Change
 }
 
 // ErrCompacted means that the store no longer has the changes since a revision.
 var ErrCompacted = errors.New("the store has dropped its history")
 
-// ErrUnchanged means that a peer knows nothing newer.
-var ErrUnchanged = errors.New("the peer has nothing newer")
-
 // Store reads the store.
 type Store interface {
 	// List returns all entries. Changes made since its revision may be missing.
@@ -46,23 +46,20 @@
 
 // Peers reads the copies of other instances.
 type Peers interface {
-	// Fetch returns the copy of a peer if its revision is higher than the known
-	// one. It fails with ErrUnchanged, and returns the age of the copy then too.
+	// Fetch returns what the copy of a peer has beyond the known revision.
 	Fetch(ctx context.Context, peer fleet.Address, known fleet.Revision) (Listing, error)
 }
 
 // Sink takes what was read.
 type Sink interface {
-	// Listed takes a complete listing. After an outage, servers that it lacks may
-	// only not have renewed their entries yet.
+	// Listed takes a listing. After an outage, servers that a complete one lacks
+	// may only not have renewed their entries yet.
 	Listed(listing Listing, outage bool)
 	// Changed takes changes up to a revision, maybe none.
 	Changed(changes []Change, revision fleet.Revision)
-	// Confirmed says that the copy was current this long ago, by a peer.
-	Confirmed(age time.Duration)
 	// Lost and Regained report the state of the store.
 	Lost(err error)
 	Regained(after time.Duration)
-	// Candidates returns the peers that may have a current copy.
-	Candidates() []fleet.Address
+	// Missed reports that a peer did not hand on its copy.
+	Missed(peer fleet.Address, err error)
 }
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -11,34 +11,62 @@
 
 // Listed implements follow.Sink.
 func (l *Loop) Listed(listing follow.Listing, outage bool) {
-	l.do(context.Background(), func(s *state) {
-		now := s.options.Clock.Now()
-		keepUntil := time.Time{}
-		if outage {
-			keepUntil = now.Add(lapseGrace)
-		}
-		s.registry.Replace(listing.Servers, keepUntil)
-		s.applyServers()
-		s.adopt(listing.Routes)
-		s.revision = max(s.revision, listing.Revision)
-		s.confirm(now.Add(-listing.Age))
-		s.options.Events.Listed(listing.Revision, s.registry.View().Count(), outage)
-		s.place(now)
-	})
+	l.do(context.Background(), func(s *state) { s.list(listing, outage) })
+}
+
+// list takes a listing of the store or of a peer.
+func (s *state) list(listing follow.Listing, outage bool) {
+	now := s.options.Clock.Now()
+	if listing.Age > 0 && listing.Revision < s.revision {
+		// A copy of a peer that is older than the own one.
+		return
+	}
+	if listing.Partial {
+		s.change(listing.Changes, listing.Revision)
+	} else {
+		s.replace(now, listing, outage)
+	}
+	s.behindSince = time.Time{}
+	s.confirm(now.Add(-listing.Age))
+	s.place(now)
+}
+
+// replace takes a complete listing.
+func (s *state) replace(now time.Time, listing follow.Listing, outage bool) {
+	keepUntil := time.Time{}
+	if outage {
+		keepUntil = now.Add(lapseGrace)
+	}
+	s.registry.Replace(listing.Servers, keepUntil)
+	s.applyServers()
+	s.adopt(listing.Routes)
+	s.revision = max(s.revision, listing.Revision)
+	s.batches = []batch{{from: s.revision, to: s.revision}}
+	s.options.Events.Listed(listing.Revision, s.registry.View().Count(), outage)
 }
 
 // Changed implements follow.Sink.
 func (l *Loop) Changed(changes []follow.Change, revision fleet.Revision) {
 	l.do(context.Background(), func(s *state) {
-		for _, change := range changes {
-			s.apply(change)
+		now := s.options.Clock.Now()
+		s.change(changes, revision)
+		s.confirm(now)
+		if len(changes) > 0 {
+			s.place(now)
 		}
-		s.applyServers()
-		s.revision = max(s.revision, revision)
-		s.confirm(s.options.Clock.Now())
 	})
 }
 
+// change takes changes up to a revision.
+func (s *state) change(changes []follow.Change, revision fleet.Revision) {
+	for _, c := range changes {
+		s.apply(c)
+	}
+	s.applyServers()
+	s.keep(batch{from: s.revision, to: max(revision, s.revision), changes: changes})
+	s.revision = max(s.revision, revision)
+}
+
 // apply takes one change.
 func (s *state) apply(change follow.Change) {
 	switch {
@@ -60,21 +88,14 @@
 	}
 }
 
-// Confirmed implements follow.Sink.
-func (l *Loop) Confirmed(age time.Duration) {
-	l.do(context.Background(), func(s *state) { s.confirm(s.options.Clock.Now().Add(-age)) })
-}
-
 // Lost implements follow.Sink.
 func (l *Loop) Lost(err error) { l.options.Events.StoreLost(err) }
 
 // Regained implements follow.Sink.
 func (l *Loop) Regained(after time.Duration) { l.options.Events.StoreRegained(after) }
 
-// Candidates implements follow.Sink.
-func (l *Loop) Candidates() []fleet.Address {
-	return l.View().Working().Peers(l.options.Self.Member.ID)
-}
+// Missed implements follow.Sink.
+func (l *Loop) Missed(peer fleet.Address, err error) { l.options.Events.CopyMissed(peer, err) }
 
 // Heard takes a beat of another instance. It is dropped if too many commands
 // wait; the next beat follows soon.
@@ -82,6 +103,7 @@
 	l.try(func(s *state) {
 		now := s.options.Clock.Now()
 		reply, joined := s.working.Heard(now, beat)
+		s.compare(now, beat)
 		if joined {
 			s.options.Events.Joined(beat.Member)
 		}
@@ -111,11 +133,11 @@
 	l.try(func(s *state) { s.slow = slow })
 }
 
-// Listing returns the copy of the store for another instance. It fails when the
-// context ends.
-func (l *Loop) Listing(ctx context.Context) (follow.Listing, error) {
+// Listing returns what the copy of the store has beyond a revision, for another
+// instance. It fails when the context ends.
+func (l *Loop) Listing(ctx context.Context, known fleet.Revision) (follow.Listing, error) {
 	answer := make(chan follow.Listing, 1)
-	l.do(ctx, func(s *state) { answer <- s.listing(s.options.Clock.Now()) })
+	l.do(ctx, func(s *state) { answer <- s.listing(s.options.Clock.Now(), known) })
 	select {
 	case listing := <-answer:
 		return listing, nil
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -8,7 +8,6 @@
 	"galenaridge/core/balance"
 	"galenaridge/core/dispatch"
 	"galenaridge/core/fleet"
-	"galenaridge/core/follow"
 	"galenaridge/core/registry"
 	"galenaridge/core/retry"
 	"galenaridge/core/route"
@@ -28,15 +27,16 @@
 
 // state is the control state. Only the control goroutine uses it.
 type state struct {
-	options  Options
-	routes   *route.State
-	document *route.Document
-	registry *registry.State
-	working  *workset.State
-	pools    map[fleet.ServiceName]*dispatch.Upstream
-	usable   map[registry.Incarnation]fleet.ServiceName
-	// listed says that the copy comes from a complete listing.
+	options     Options
+	routes      *route.State
+	document    *route.Document
+	registry    *registry.State
+	working     *workset.State
+	pools       map[fleet.ServiceName]*dispatch.Upstream
+	usable      map[registry.Incarnation]fleet.ServiceName
+	batches     []batch
 	revision    fleet.Revision
+	behindSince time.Time
 	confirmedAt time.Time
 	stopping    bool
 	slow        bool
@@ -150,9 +150,11 @@
 	if s.working.SetCondition(workset.Condition{
 		Leaving:  s.stopping,
 		Ready:    loaded && !s.stopping,
-		Impaired: s.impaired(now),
+		Slow:     s.slow,
 		Rate:     s.rate,
 		Version:  s.routes.Version(),
+		Revision: s.revision,
+		Age:      now.Sub(s.confirmedAt),
 	}) {
 		s.urgent = true
 	}
@@ -166,17 +168,7 @@
 		s.options.Events.Working(s.activeAddresses())
 		s.shareQuota()
 	}
-	s.watch(view.Place() != workset.Idle || s.carries())
-}
-
-// carries reports whether callers use this instance, as those with an old answer
-// of the directory may.
-func (s *state) carries() bool { return s.rate > 0.01 && !s.stopping }
-
-// impaired reports whether callers are better served elsewhere.
-func (s *state) impaired(now time.Time) bool {
-	stale := s.watching && !s.confirmedAt.IsZero() && now.Sub(s.confirmedAt) > staleAfter
-	return stale || s.slow
+	s.watch(view.Place() != workset.Idle)
 }
 
 // watch starts or ends the reading of the store.
@@ -187,11 +179,6 @@
 	}
 	s.watching = on
 	s.options.Watch.Enable(on)
-	if !on {
-		// A copy that is not kept current must not be used again.
-		s.revision = 0
-		s.confirmedAt = time.Time{}
-	}
 }
 
 func (s *state) activeAddresses() []fleet.Address {
@@ -284,13 +271,3 @@
 		s.options.Events.Configured(document.Version)
 	}
 }
-
-// listing returns the copy for another instance.
-func (s *state) listing(now time.Time) follow.Listing {
-	listing := follow.Listing{Routes: s.document, Revision: s.revision, Age: now.Sub(s.confirmedAt)}
-	view := s.registry.View()
-	for _, name := range view.Services() {
-		listing.Servers = append(listing.Servers, view.Servers(name)...)
-	}
-	return listing
-}
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -27,6 +27,12 @@
 	Enable(on bool)
 }
 
+// Copies fetches what a peer knows of the store beyond a revision. It must not
+// block.
+type Copies interface {
+	Fetch(peer fleet.Address, known fleet.Revision)
+}
+
 // Traffic says what this instance carries.
 type Traffic interface {
 	// Started returns the number of requests so far.
@@ -46,6 +52,7 @@
 	Gone(server fleet.ServerID, lapsed bool)
 	StoreLost(err error)
 	StoreRegained(after time.Duration)
+	CopyMissed(peer fleet.Address, err error)
 	Stopping()
 }
 
@@ -56,6 +63,7 @@
 	Clock   Clock
 	Peers   Peers
 	Watch   Watch
+	Copies  Copies
 	Traffic Traffic
 	Random  balance.Random
 	Events  Events
@@ -71,8 +79,15 @@
 	// lapseGrace is how long a server that is missing after an outage of the
 	// store is kept. A live one renews its entry in about two seconds.
 	lapseGrace = 2200 * time.Millisecond
-	// staleAfter is the age of the copy at which an instance counts as impaired.
-	staleAfter = 2200 * time.Millisecond
+	// distantAfter is how long the own copy must be behind before a peer of
+	// another failure domain is asked: bytes between them are paid for.
+	distantAfter = 400 * time.Millisecond
+	// ownAfter is the age of the copy at which an instance that reads the store
+	// itself asks peers as well.
+	ownAfter = 1500 * time.Millisecond
+	// maxBatches and maxChanges bound the changes that are kept for peers.
+	maxBatches = 64
+	maxChanges = 512
 	// rateWeight is the weight of one tick in the rate of requests.
 	rateWeight = 0.05
 	// quotaShare is the share of the quota's ratio that is used; the rest covers
--- a/core/gateway/view.go
+++ b/core/gateway/view.go
@@ -76,7 +76,7 @@
 
 // Ready reports whether callers should be sent here.
 func (v *View) Ready() bool {
-	return v.Loaded() && !v.stopping && v.working.Place() != workset.Idle
+	return v.Loaded() && !v.stopping
 }
 
 // Counts returns what is believed of the servers of each service.
--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -35,17 +35,21 @@
 type Condition struct {
 	Leaving  bool
 	Ready    bool
-	Impaired bool
+	Slow     bool
 	Rate     float64
 	Version  fleet.Version
+	Revision fleet.Revision
+	Age      time.Duration
 }
 
 // SetCondition takes what this instance knows of itself. It reports whether the
 // others should be told at once.
 func (s *State) SetCondition(c Condition) bool {
-	urgent := c.Leaving != s.self.Leaving || c.Ready != s.self.Ready || c.Impaired != s.self.Impaired
-	s.self.Leaving, s.self.Ready, s.self.Impaired = c.Leaving, c.Ready, c.Impaired
+	urgent := c.Leaving != s.self.Leaving || c.Ready != s.self.Ready || c.Slow != s.self.Slow
+	urgent = urgent || s.view.place == Active && c.Revision != s.self.Revision
+	s.self.Leaving, s.self.Ready, s.self.Slow = c.Leaving, c.Ready, c.Slow
 	s.self.Rate, s.self.Version = c.Rate, c.Version
+	s.self.Revision, s.self.Age = c.Revision, c.Age
 	return urgent
 }
 
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -16,8 +16,8 @@
 	Leaving bool
 	// Ready instances have a configuration and servers.
 	Ready bool
-	// Impaired instances run slowly or cannot learn of changes.
-	Impaired bool
+	// Slow instances run on a machine that lags.
+	Slow bool
 	// Every is the time to the next beat.
 	Every time.Duration
 	// Uptime is the age of the process.
@@ -28,6 +28,10 @@
 	Rate float64
 	// Version is the configuration in force.
 	Version fleet.Version
+	// Revision is that of the copy of the store, Age how long ago the copy was
+	// known to be current.
+	Revision fleet.Revision
+	Age      time.Duration
 	// Contacts are other instances, for a receiver that is new.
 	Contacts []fleet.Address
 	// Asks requests contacts.
@@ -61,6 +65,10 @@
 	// ratePerCore is the number of requests a second that a core carries with
 	// room for bursts; a request costs about a millisecond at the most.
 	ratePerCore = 500
+	// staleLead is how much older than the best copy one may be before its
+	// instance ranks behind the others. While the store is down all copies age
+	// alike.
+	staleLead = 2500 * time.Millisecond
 	// maxContacts bounds the contacts of one beat, which is one datagram.
 	maxContacts = 48
 )
--- a/core/workset/order.go
+++ b/core/workset/order.go
@@ -12,7 +12,9 @@
 type candidate struct {
 	beat  Beat
 	young bool
-	score uint64
+	// behind says that the copy of the store is older than that of others.
+	behind bool
+	score  uint64
 }
 
 // order computes the view.
@@ -20,8 +22,12 @@
 	v := &View{domains: make(map[fleet.Domain][]Beat), place: Idle}
 	byDomain := make(map[fleet.Domain][]candidate)
 	rates := make(map[fleet.Domain]float64)
+	freshest := forgetAfter
 	add := func(beat Beat, uptime time.Duration) {
 		rates[beat.Domain] += beat.Rate
+		if beat.Ready {
+			freshest = min(freshest, beat.Age)
+		}
 		if beat.Leaving {
 			return
 		}
@@ -34,7 +40,10 @@
 	for _, p := range s.peers {
 		if p.live(now) {
 			v.live++
-			add(p.beat, p.beat.Uptime+now.Sub(p.heardAt))
+			since := now.Sub(p.heardAt)
+			beat := p.beat
+			beat.Age += since
+			add(beat, beat.Uptime+since)
 		}
 	}
 	uptime := now.Sub(s.options.Start)
@@ -43,11 +52,20 @@
 	}
 	add(s.self, uptime)
 	for domain, candidates := range byDomain {
+		markBehind(candidates, freshest)
 		s.place(v, domain, candidates, rates[domain])
 	}
 	return v
 }
 
+// markBehind marks the candidates with a copy that is much older than the
+// freshest one.
+func markBehind(candidates []candidate, freshest time.Duration) {
+	for i := range candidates {
+		candidates[i].behind = candidates[i].beat.Age > freshest+staleLead
+	}
+}
+
 // resource is what the rendezvous order is for.
 const resource fleet.Resource = "active"
 
@@ -56,7 +74,9 @@
 	allYoung := !slices.ContainsFunc(candidates, func(c candidate) bool { return !c.young })
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
-			compareBool(a.beat.Impaired, b.beat.Impaired),
+			compareBool(!a.beat.Ready, !b.beat.Ready),
+			compareBool(a.behind, b.behind),
+			compareBool(a.beat.Slow, b.beat.Slow),
 			compareBool(a.young && !allYoung, b.young && !allYoung),
 			-cmp.Compare(a.beat.Cores, b.beat.Cores),
 			-cmp.Compare(a.score, b.score),
--- a/core/workset/queries.go
+++ b/core/workset/queries.go
@@ -63,19 +63,6 @@
 	return v.domains[domain]
 }
 
-// Peers returns the active instances that can hand on what the store says.
-func (v *View) Peers(self fleet.InstanceID) []fleet.Address {
-	var addresses []fleet.Address
-	for _, name := range sortedDomains(v.domains) {
-		for _, beat := range v.domains[name] {
-			if beat.Ready && beat.Member.ID != self {
-				addresses = append(addresses, beat.Peer)
-			}
-		}
-	}
-	return addresses
-}
-
 func (v *View) addresses() []fleet.Address {
 	var addresses []fleet.Address
 	for _, name := range sortedDomains(v.domains) {
--- a/io/decision/line.go
+++ b/io/decision/line.go
@@ -22,6 +22,7 @@
 	ConfigRefused   Event = "config-refused"
 	StoreLost       Event = "store-lost"
 	StoreRegained   Event = "store-regained"
+	CopyMissed      Event = "copy-missed"
 	PeerJoined      Event = "peer-joined"
 	PlaceChanged    Event = "place-changed"
 	WorkingChanged  Event = "working-set-changed"
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -152,5 +152,10 @@
 	j.lines.Write(decision.Line{Event: decision.StoreRegained, AgeMS: after.Milliseconds()})
 }
 
+// CopyMissed implements gateway.Events of core.
+func (j *journal) CopyMissed(peer fleet.Address, err error) {
+	j.lines.Write(decision.Line{Event: decision.CopyMissed, Peer: string(peer), Cause: err.Error()})
+}
+
 // Stopping implements gateway.Events of core.
 func (j *journal) Stopping() { j.lines.Write(decision.Line{Event: decision.Stopping}) }
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -57,6 +57,7 @@
 	control  *core.Loop
 	engine   *dispatch.Engine
 	follower *follow.Follower
+	copier   *follow.Copier
 	link     *beat.Link
 	servers  *upstream.Pool
 	callers  *pipeline.Server
@@ -124,10 +125,10 @@
 	calls := p.metrics.NewCounter("galenaridge_store_calls_total")
 	p.follower = follow.New(follow.Options{
 		Store: p.options.Adapter.Store(s.Store, p.clock, p.log, calls),
-		Peers: snapshot.NewClient(),
 		Sink:  sink{p},
 		Clock: p.clock,
 	})
+	p.copier = follow.NewCopier(follow.CopierOptions{Peers: snapshot.NewClient(), Sink: sink{p}, Clock: p.clock})
 	p.servers = upstream.NewPool(upstream.PoolOptions{Clock: p.clock, Dialect: p.options.Adapter.Servers()})
 	p.engine = dispatch.New(dispatch.Options{Sites: sites{p}, Sender: p.servers, Clock: p.clock, Journal: book})
 	p.control = core.New(core.Options{
@@ -142,6 +143,7 @@
 		Clock:   p.clock,
 		Peers:   p.link,
 		Watch:   p.follower,
+		Copies:  p.copier,
 		Traffic: p.engine,
 		Random:  globalRandom{},
 		Events:  book,
@@ -261,6 +263,7 @@
 	wg.Go(func() { p.lines.Run(running) })
 	wg.Go(func() { p.control.Run(running) })
 	wg.Go(func() { p.follower.Run(running) })
+	wg.Go(func() { p.copier.Run(running) })
 	wg.Go(func() { p.upkeep(running) })
 	serve("datagrams", func() error { return p.link.Run(running, p.control) })
 	serve("caller server", func() error { return p.callers.Serve(p.callerListener) })
@@ -379,17 +382,14 @@
 	s.process.control.Changed(changes, revision)
 }
 
-// Confirmed implements follow.Sink.
-func (s sink) Confirmed(age time.Duration) { s.process.control.Confirmed(age) }
-
 // Lost implements follow.Sink.
 func (s sink) Lost(err error) { s.process.control.Lost(err) }
 
 // Regained implements follow.Sink.
 func (s sink) Regained(after time.Duration) { s.process.control.Regained(after) }
 
-// Candidates implements follow.Sink.
-func (s sink) Candidates() []fleet.Address { return s.process.control.Candidates() }
+// Missed implements follow.Sink.
+func (s sink) Missed(peer fleet.Address, err error) { s.process.control.Missed(peer, err) }
 
 // globalRandom is the process-wide random source, which may be used
 // concurrently.
--- a/io/peer/beat/codec.go
+++ b/io/peer/beat/codec.go
@@ -15,6 +15,9 @@
 // not keep its sender alive for ever.
 const maxEvery = 10 * time.Second
 
+// maxAge bounds the age that a beat may state.
+const maxAge = time.Hour
+
 // Encode returns the datagram of a beat.
 func Encode(b workset.Beat) ([]byte, error) {
 	message := &peerpb.Beat{
@@ -25,7 +28,9 @@
 		Caller:      string(b.Caller),
 		Leaving:     b.Leaving,
 		Ready:       b.Ready,
-		Impaired:    b.Impaired,
+		Slow:        b.Slow,
+		Revision:    uint64(b.Revision),
+		AgeMs:       uint64(max(b.Age.Milliseconds(), 0)),
 		EveryMs:     uint32(b.Every.Milliseconds()),
 		UptimeMs:    uint64(b.Uptime.Milliseconds()),
 		Cores:       b.Cores,
@@ -57,7 +62,9 @@
 		Caller:   fleet.Address(message.GetCaller()),
 		Leaving:  message.GetLeaving(),
 		Ready:    message.GetReady(),
-		Impaired: message.GetImpaired(),
+		Slow:     message.GetSlow(),
+		Revision: fleet.Revision(message.GetRevision()),
+		Age:      time.Duration(min(message.GetAgeMs(), uint64(maxAge.Milliseconds()))) * time.Millisecond,
 		Every:    every,
 		Uptime:   time.Duration(message.GetUptimeMs()) * time.Millisecond,
 		Cores:    message.GetCores(),
--- a/io/peer/snapshot/client.go
+++ b/io/peer/snapshot/client.go
@@ -41,21 +41,11 @@
 	if err := c.http.DoDeadline(request, response, deadline); err != nil {
 		return listing, eris.Wrapf(err, "asking %s for its copy", peer)
 	}
-	ms, err := strconv.ParseInt(string(response.Header.Peek(headerAge)), 10, 64)
-	if err != nil {
-		return listing, eris.Errorf("%s answered %d without an age", peer, response.StatusCode())
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return listing, eris.Errorf("%s answered %d", peer, status)
 	}
-	switch response.StatusCode() {
-	case fasthttp.StatusNoContent:
-		listing.Age = time.Duration(ms) * time.Millisecond
-		return listing, follow.ErrUnchanged
-	case fasthttp.StatusOK:
-		if err := json.Unmarshal(response.Body(), &listing); err != nil {
-			return follow.Listing{}, eris.Wrapf(err, "the copy of %s is not valid", peer)
-		}
-		listing.Age = time.Duration(ms) * time.Millisecond
-		return listing, nil
-	default:
-		return listing, eris.Errorf("%s answered %d", peer, response.StatusCode())
+	if err := json.Unmarshal(response.Body(), &listing); err != nil {
+		return follow.Listing{}, eris.Wrapf(err, "the copy of %s is not valid", peer)
 	}
+	return listing, nil
 }
