Take newer copies from other failure domains

The store turned away both instances of khomas-c that read it. Their beats confirmed the old revision to each other, which reset the time for which a newer copy of another failure domain was waited for. Change: only a copy as new as the newest one that was stated ends that time; an instance that the store turned away asks peers at once.

--- a/core/follow/follower.go
+++ b/core/follow/follower.go
@@ -12,7 +12,7 @@
 	// watchWait is how long the store keeps a watch without changes. Its end
 	// confirms the copy, so the copy is at most this old; each watch is a call
 	// that is paid for.
-	watchWait = 1200 * time.Millisecond
+	watchWait = time.Second
 	// callLimit bounds a call beyond the time that it waits.
 	callLimit = 700 * time.Millisecond
 	// gatherPause lets changes that come together arrive in one call.
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -26,7 +26,9 @@
 	} else {
 		s.replace(now, listing, outage)
 	}
-	s.behindSince = time.Time{}
+	if s.newest <= s.revision {
+		s.behindSince = time.Time{}
+	}
 	s.confirm(now.Add(-listing.Age))
 	s.place(now)
 }
@@ -89,10 +91,16 @@
 }
 
 // Lost implements follow.Sink.
-func (l *Loop) Lost(err error) { l.options.Events.StoreLost(err) }
+func (l *Loop) Lost(err error) {
+	l.options.Events.StoreLost(err)
+	l.do(context.Background(), func(s *state) { s.storeLost = true })
+}
 
 // Regained implements follow.Sink.
-func (l *Loop) Regained(after time.Duration) { l.options.Events.StoreRegained(after) }
+func (l *Loop) Regained(after time.Duration) {
+	l.options.Events.StoreRegained(after)
+	l.do(context.Background(), func(s *state) { s.storeLost = false })
+}
 
 // Missed implements follow.Sink.
 func (l *Loop) Missed(peer fleet.Address, err error) { l.options.Events.CopyMissed(peer, err) }
--- a/core/gateway/copy.go
+++ b/core/gateway/copy.go
@@ -56,20 +56,26 @@
 // revision confirms the own one; a newer one is fetched by those that do not
 // read the store or that it does not answer.
 func (s *state) compare(now time.Time, beat workset.Beat) {
+	if !beat.Ready {
+		return
+	}
+	s.newest = max(s.newest, beat.Revision)
 	switch {
-	case !beat.Ready || beat.Revision < s.revision:
+	case s.newest <= s.revision:
+		s.behindSince = time.Time{}
+	case s.behindSince.IsZero():
+		s.behindSince = now
+	}
+	switch {
+	case beat.Revision < s.revision:
 		return
 	case beat.Revision == s.revision:
-		s.behindSince = time.Time{}
 		s.confirm(now.Add(-beat.Age))
 		return
 	}
-	if s.watching && s.revision > 0 && now.Sub(s.confirmedAt) < ownAfter {
+	if s.watching && !s.storeLost && s.revision > 0 && now.Sub(s.confirmedAt) < ownAfter {
 		return
 	}
-	if s.behindSince.IsZero() {
-		s.behindSince = now
-	}
 	near := beat.Domain == s.options.Self.Domain
 	if near || now.Sub(s.behindSince) > distantAfter {
 		s.options.Copies.Fetch(beat.Peer, s.revision)
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -27,15 +27,18 @@
 
 // state is the control state. Only the control goroutine uses it.
 type state struct {
-	options     Options
-	routes      *route.State
-	document    *route.Document
-	registry    *registry.State
-	working     *workset.State
-	pools       map[fleet.ServiceName]*dispatch.Upstream
-	usable      map[registry.Incarnation]fleet.ServiceName
-	batches     []batch
-	revision    fleet.Revision
+	options  Options
+	routes   *route.State
+	document *route.Document
+	registry *registry.State
+	working  *workset.State
+	pools    map[fleet.ServiceName]*dispatch.Upstream
+	usable   map[registry.Incarnation]fleet.ServiceName
+	batches  []batch
+	revision fleet.Revision
+	// newest is the highest revision that a peer has stated, behindSince when
+	// one was higher than the own one first.
+	newest      fleet.Revision
 	behindSince time.Time
 	confirmedAt time.Time
 	stopping    bool
@@ -43,6 +46,7 @@
 	rate        float64
 	started     int64
 	watching    bool
+	storeLost   bool
 	urgent      bool
 	ticked      time.Time
 }
@@ -178,6 +182,7 @@
 		return
 	}
 	s.watching = on
+	s.storeLost = false
 	s.options.Watch.Enable(on)
 }
 
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -84,7 +84,7 @@
 	distantAfter = 400 * time.Millisecond
 	// ownAfter is the age of the copy at which an instance that reads the store
 	// itself asks peers as well.
-	ownAfter = 1500 * time.Millisecond
+	ownAfter = 1250 * time.Millisecond
 	// maxBatches and maxChanges bound the changes that are kept for peers.
 	maxBatches = 64
 	maxChanges = 512
