Share outstanding requests and beliefs among active instances

Cause: each active instance learnt alone of a server that stalls, so each lost requests to it, and counted only its own requests on servers that others use too.

--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -14,6 +14,7 @@
 	defer p.mu.Unlock()
 	next := make(map[registry.Incarnation]*server, len(listed))
 	list := make([]*server, 0, len(listed))
+	keys := make(map[Key]*server, len(listed))
 	for _, info := range listed {
 		s, known := p.servers[info.Incarnation]
 		if !known || s.info.Address != info.Address {
@@ -21,11 +22,13 @@
 		}
 		s.info = info
 		next[info.Incarnation] = s
+		keys[s.key] = s
 		if info.Presence == fleet.Live {
 			list = append(list, s)
 		}
 	}
 	p.servers = next
+	p.keys = keys
 	p.list = list
 }
 
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -84,12 +84,19 @@
 	mu      sync.Mutex
 	servers map[registry.Incarnation]*server
 	list    []*server
+	keys    map[Key]*server
+	toldAt  time.Time
 	usual   estimates
 }
 
 // NewPool returns a pool without servers.
 func NewPool(options Options) *Pool {
-	return &Pool{options: options, servers: make(map[registry.Incarnation]*server), usual: make(estimates)}
+	return &Pool{
+		options: options,
+		servers: make(map[registry.Incarnation]*server),
+		keys:    make(map[Key]*server),
+		usual:   make(estimates),
+	}
 }
 
 // Lease is an outstanding attempt on a server. It must be finished.
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -10,6 +10,7 @@
 // server is what the pool knows of one server.
 type server struct {
 	info registry.Server
+	key  Key
 	// leases are the outstanding attempts.
 	leases []*Lease
 	// reported is the load that the server stated last.
@@ -27,6 +28,9 @@
 	// cutUntil is until when the server counts as unreachable from here.
 	cutUntil time.Time
 	cuts     int
+	// remotes holds what other instances told, told what this one told them.
+	remotes map[fleet.InstanceID]remote
+	told    Share
 	// slowness is the ratio of the time that the server takes to the usual one.
 	slowness float64
 }
@@ -39,7 +43,13 @@
 }
 
 func newServer(info registry.Server) *server {
-	return &server{info: info, slowness: 1, belief: belief{failing: firstBelief}}
+	return &server{
+		info:     info,
+		key:      KeyOf(info.Incarnation),
+		slowness: 1,
+		belief:   belief{failing: firstBelief},
+		remotes:  make(map[fleet.InstanceID]remote),
+	}
 }
 
 // slots returns how many requests the server works on at a time.
@@ -47,7 +57,7 @@
 
 // busy returns how many requests the server has, as far as is known.
 func (s *server) busy(now time.Time) float64 {
-	own := float64(len(s.leases))
+	own := float64(len(s.leases) + s.elsewhere(now))
 	if now.Sub(s.reportedAt) > reportLife {
 		return own
 	}
@@ -55,14 +65,9 @@
 }
 
 // failing returns the probability that the server is failing, by what finished
-// and by the age of what is outstanding.
+// here, by what others told, and by the age of what is outstanding.
 func (s *server) failing(now time.Time) float64 {
-	failing := s.belief.now(now)
-	for _, l := range s.leases {
-		age := float64(now.Sub(l.started)-l.waited) / float64(l.Expected)
-		failing = scale(failing, outstanding(age))
-	}
-	return failing
+	return s.withOutstanding(now, s.joint(now))
 }
 
 // condition returns what is believed of the server.
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -124,6 +124,18 @@
 	})
 }
 
+// Told takes what another instance knows of servers. The pools have their own
+// short critical sections, so it does not pass through the control goroutine.
+func (l *Loop) Told(report Report) {
+	if report.From.ID == l.options.Self.Member.ID {
+		return
+	}
+	now := l.options.Clock.Now()
+	for _, u := range l.View().upstreams {
+		u.Servers.Hear(now, report.From.ID, report.Shares)
+	}
+}
+
 // Stop begins a planned stop: callers are sent elsewhere.
 func (l *Loop) Stop(ctx context.Context) {
 	l.do(ctx, func(s *state) {
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -35,6 +35,7 @@
 }
 
 func (r *recorder) Send(workset.Beat, []fleet.Address) {}
+func (r *recorder) Tell(Report, []fleet.Address)       {}
 func (r *recorder) Enable(on bool)                     { r.watching = on }
 func (r *recorder) Fetch(peer fleet.Address, _ fleet.Revision) {
 	r.fetched = append(r.fetched, peer)
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -133,6 +133,7 @@
 	s.applyServers()
 	s.measure(now)
 	s.place(now)
+	s.tell(now)
 }
 
 // measure updates the rate of requests.
@@ -186,6 +187,31 @@
 	s.options.Watch.Enable(on)
 }
 
+// maxShares bounds one report, which is one datagram.
+const maxShares = 90
+
+// tell reports to the other active instances what this one knows of servers.
+func (s *state) tell(now time.Time) {
+	var to []fleet.Address
+	for _, beat := range s.working.View().AllActive() {
+		if beat.Member.ID != s.options.Self.Member.ID {
+			to = append(to, beat.Peer)
+		}
+	}
+	if len(to) == 0 {
+		return
+	}
+	var shares []balance.Share
+	for _, u := range s.pools {
+		shares = append(shares, u.Servers.Tell(now)...)
+	}
+	for len(shares) > 0 {
+		n := min(len(shares), maxShares)
+		s.options.Peers.Tell(Report{From: s.options.Self.Member, Shares: shares[:n]}, to)
+		shares = shares[n:]
+	}
+}
+
 func (s *state) activeAddresses() []fleet.Address {
 	var addresses []fleet.Address
 	for _, beat := range s.working.View().AllActive() {
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -20,6 +20,13 @@
 // Peers sends datagrams to other instances. It must not block.
 type Peers interface {
 	Send(beat workset.Beat, to []fleet.Address)
+	Tell(report Report, to []fleet.Address)
+}
+
+// Report is what an active instance tells the other active ones about servers.
+type Report struct {
+	From   fleet.Member
+	Shares []balance.Share
 }
 
 // Watch starts and ends the reading of the store.
--- a/io/peer/beat/codec.go
+++ b/io/peer/beat/codec.go
@@ -6,7 +6,9 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"galenaridge/core/balance"
 	"galenaridge/core/fleet"
+	"galenaridge/core/gateway"
 	"galenaridge/core/workset"
 	"galenaridge/io/peer/peerpb"
 )
@@ -18,8 +20,8 @@
 // maxAge bounds the age that a beat may state.
 const maxAge = time.Hour
 
-// Encode returns the datagram of a beat.
-func Encode(b workset.Beat) ([]byte, error) {
+// encodeBeat returns the datagram of a beat.
+func encodeBeat(b workset.Beat) ([]byte, error) {
 	message := &peerpb.Beat{
 		Id:          string(b.Member.ID),
 		Incarnation: uint64(b.Member.Incarnation),
@@ -41,16 +43,12 @@
 	for _, contact := range b.Contacts {
 		message.Contacts = append(message.Contacts, string(contact))
 	}
-	data, err := proto.Marshal(message)
+	data, err := proto.Marshal(&peerpb.Datagram{Body: &peerpb.Datagram_Beat{Beat: message}})
 	return data, eris.Wrap(err, "encoding a beat")
 }
 
-// Decode returns the beat of a datagram, or an error for one that is no beat.
-func Decode(data []byte) (workset.Beat, error) {
-	var message peerpb.Beat
-	if err := proto.Unmarshal(data, &message); err != nil {
-		return workset.Beat{}, eris.Wrap(err, "decoding a beat")
-	}
+// decodeBeat returns a beat, or an error for one that lacks something.
+func decodeBeat(message *peerpb.Beat) (workset.Beat, error) {
 	every := time.Duration(message.GetEveryMs()) * time.Millisecond
 	if message.GetId() == "" || message.GetPeer() == "" || message.GetCaller() == "" || every <= 0 || every > maxEvery {
 		return workset.Beat{}, eris.New("a beat lacks its sender or interval")
@@ -77,3 +75,44 @@
 	}
 	return b, nil
 }
+
+// encodeReport returns the datagram of a report.
+func encodeReport(r gateway.Report) ([]byte, error) {
+	message := &peerpb.Report{Id: string(r.From.ID), Incarnation: uint64(r.From.Incarnation)}
+	for _, share := range r.Shares {
+		message.Server = append(message.Server, uint32(share.Key))
+		message.Outstanding = append(message.Outstanding, uint32(share.Outstanding))
+		message.Failing = append(message.Failing, uint32(share.Failing*thousand))
+		message.AgeMs = append(message.AgeMs, uint32(min(share.Age, maxAge).Milliseconds()))
+	}
+	data, err := proto.Marshal(&peerpb.Datagram{Body: &peerpb.Datagram_Report{Report: message}})
+	return data, eris.Wrap(err, "encoding a report")
+}
+
+// thousand is the scale of probabilities in reports.
+const thousand = 1000
+
+// decodeReport returns a report, or an error if its fields do not belong
+// together.
+func decodeReport(message *peerpb.Report) (gateway.Report, error) {
+	n := len(message.GetServer())
+	if message.GetId() == "" || len(message.GetOutstanding()) != n || len(message.GetFailing()) != n || len(message.GetAgeMs()) != n {
+		return gateway.Report{}, eris.New("a report lacks its sender or a field")
+	}
+	r := gateway.Report{
+		From:   fleet.Member{ID: fleet.InstanceID(message.GetId()), Incarnation: fleet.Incarnation(message.GetIncarnation())},
+		Shares: make([]balance.Share, 0, n),
+	}
+	for i, key := range message.GetServer() {
+		r.Shares = append(r.Shares, balance.Share{
+			Key:         balance.Key(key),
+			Outstanding: int(min(message.GetOutstanding()[i], maxOutstanding)),
+			Failing:     float64(min(message.GetFailing()[i], thousand)) / thousand,
+			Age:         time.Duration(message.GetAgeMs()[i]) * time.Millisecond,
+		})
+	}
+	return r, nil
+}
+
+// maxOutstanding bounds the requests that a report may state for a server.
+const maxOutstanding = 10_000
--- a/io/peer/beat/link.go
+++ b/io/peer/beat/link.go
@@ -8,20 +8,24 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"galenaridge/core/fleet"
+	"galenaridge/core/gateway"
 	"galenaridge/core/workset"
+	"galenaridge/io/peer/peerpb"
 )
 
 // maxDatagram is the largest datagram in bytes that is read.
 const maxDatagram = 8 << 10
 
-// Receiver takes beats of other instances.
+// Receiver takes what other instances send.
 type Receiver interface {
 	Heard(beat workset.Beat)
+	Told(report gateway.Report)
 }
 
-// Link sends and receives beats.
+// Link sends and receives datagrams.
 type Link struct {
 	conn *net.UDPConn
 	log  logrus.FieldLogger
@@ -43,11 +47,25 @@
 // Send sends a beat. Failures are logged at debug level: a lost datagram and an
 // unreachable instance are the same to the sender.
 func (l *Link) Send(beat workset.Beat, to []fleet.Address) {
-	data, err := Encode(beat)
+	data, err := encodeBeat(beat)
 	if err != nil {
 		l.log.WithError(err).Error("a beat cannot be encoded")
 		return
 	}
+	l.send(data, to)
+}
+
+// Tell sends a report.
+func (l *Link) Tell(report gateway.Report, to []fleet.Address) {
+	data, err := encodeReport(report)
+	if err != nil {
+		l.log.WithError(err).Error("a report cannot be encoded")
+		return
+	}
+	l.send(data, to)
+}
+
+func (l *Link) send(data []byte, to []fleet.Address) {
 	for _, address := range to {
 		target, err := netip.ParseAddrPort(string(address))
 		if err != nil {
@@ -55,12 +73,12 @@
 			continue
 		}
 		if _, err := l.conn.WriteToUDPAddrPort(data, target); err != nil {
-			l.log.WithError(err).WithField("peer", address).Debug("a beat was not sent")
+			l.log.WithError(err).WithField("peer", address).Debug("a datagram was not sent")
 		}
 	}
 }
 
-// Run hands received beats on until Close.
+// Run hands received datagrams on until Close.
 func (l *Link) Run(_ context.Context, receiver Receiver) error {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -72,13 +90,35 @@
 			l.log.WithError(err).Debug("a datagram was not read")
 			continue
 		}
-		beat, err := Decode(buffer[:n])
+		if err := deliver(buffer[:n], receiver); err != nil {
+			l.log.WithError(err).Warn("a datagram cannot be read")
+		}
+	}
+}
+
+// deliver hands one datagram to the receiver.
+func deliver(data []byte, receiver Receiver) error {
+	var datagram peerpb.Datagram
+	if err := proto.Unmarshal(data, &datagram); err != nil {
+		return eris.Wrap(err, "decoding a datagram")
+	}
+	switch body := datagram.GetBody().(type) {
+	case *peerpb.Datagram_Beat:
+		beat, err := decodeBeat(body.Beat)
 		if err != nil {
-			l.log.WithError(err).Warn("a datagram is no beat")
-			continue
+			return err
 		}
 		receiver.Heard(beat)
+	case *peerpb.Datagram_Report:
+		report, err := decodeReport(body.Report)
+		if err != nil {
+			return err
+		}
+		receiver.Told(report)
+	default:
+		return eris.New("the datagram has no body that is known")
 	}
+	return nil
 }
 
 // Close ends Run.
