Explore in the own failure domain, connect with shorter limits, try less when there is room

Cause: idempotent requests looked for unknown servers in all failure domains and paid for bytes between them; trials of suspected servers failed requests whose second attempt failed too, while other servers had room; a connection over a cut path took 200 ms to fail; the usual duration included waits for a slot.

--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -79,25 +79,31 @@
 func (p *Pool) choose(now time.Time, ask Ask, expected time.Duration) (*server, bool) {
 	var best, trial *server
 	var bestCost, trialCost float64
+	pause := p.trialPause(now, ask, expected)
 	for _, s := range p.list {
 		if excluded(ask.Exclude, s.info.Incarnation) {
 			continue
 		}
 		failing := s.failing(now)
 		cost := s.load(now, expected, ask.Objective) + tieBreak*p.options.Random.Float64()
-		if s.info.Domain != p.options.Domain {
+		near := s.info.Domain == p.options.Domain
+		if !near {
 			cost += distanceCost
 		}
 		if now.Before(s.cutUntil) {
 			cost += cutCost
 		}
-		if ask.Trial && s.mayTry(now, failing) && (trial == nil || cost < trialCost) {
+		if near && pause > 0 && s.mayTry(now, failing, pause) && (trial == nil || cost < trialCost) {
 			trial, trialCost = s, cost
 		}
-		if ask.Trial {
-			cost += hedgedShare*failing - staleBonus*s.stale(now)
-		} else {
+		switch {
+		case !ask.Trial:
 			cost += failing
+		case near:
+			cost += hedgedShare*failing - staleBonus*s.stale(now)
+		default:
+			// Instances there find out about them and report it.
+			cost += hedgedShare * failing
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
@@ -109,13 +115,41 @@
 	return best, false
 }
 
+// trialPause returns the least time between trials of one server, or zero if the
+// request must not be a trial: a second attempt after a trial that brings no
+// answer must still meet the objective. While the other servers have room, there
+// is no hurry to have one back.
+func (p *Pool) trialPause(now time.Time, ask Ask, expected time.Duration) time.Duration {
+	if !ask.Trial || time.Duration(trialRounds*float64(expected)) > ask.Objective {
+		return 0
+	}
+	if p.utilization(now) < roomy {
+		return roomyTrialPause
+	}
+	return trialPause
+}
+
+// utilization returns the share of the slots of sound servers that are taken.
+func (p *Pool) utilization(now time.Time) float64 {
+	busy, slots := 0.0, 0.0
+	for _, s := range p.list {
+		if s.belief.now(now) < suspectAbove && !now.Before(s.cutUntil) {
+			busy += min(s.busy(now), s.slots())
+			slots += s.slots()
+		}
+	}
+	if slots == 0 {
+		return 1
+	}
+	return busy / slots
+}
+
 // mayTry reports whether a suspected server may get a trial.
-func (s *server) mayTry(now time.Time, failing float64) bool {
+func (s *server) mayTry(now time.Time, failing float64, pause time.Duration) bool {
 	if failing < clearBelow || len(s.leases) > 0 || now.Before(s.cutUntil) {
 		return false
 	}
-	pause := min(trialPause<<min(s.stalls, maxDoublings), maxTrialPause)
-	return now.Sub(s.triedAt) >= pause
+	return now.Sub(s.triedAt) >= min(pause<<min(s.stalls, maxDoublings), maxTrialPause)
 }
 
 // stale returns how little is known of the server, from 0 to 1.
@@ -200,7 +234,7 @@
 	ratio := float64(took-l.waited) / float64(max(l.Expected, time.Millisecond))
 	s.slowness += slowMemory * (min(ratio, maxSlowness) - s.slowness)
 	s.slowness = max(s.slowness, 1)
-	p.usual.observe(l.kind, l.Expected, took)
+	p.usual.observe(l.kind, l.Expected, took-l.waited)
 }
 
 // StallAfter returns how long after its start the attempt counts as stalled.
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -38,8 +38,14 @@
 	// trialPause is the time between trials of a suspected server; it doubles
 	// with each that brings no answer.
 	trialPause    = 500 * time.Millisecond
-	maxTrialPause = 2 * time.Second
-	maxDoublings  = 2
+	maxTrialPause = 3 * time.Second
+	// roomy is the utilization below which trials pause for roomyTrialPause.
+	roomy           = 0.45
+	roomyTrialPause = 1500 * time.Millisecond
+	// trialRounds is the time that a trial and a second attempt take, in usual
+	// durations.
+	trialRounds  = 2.6
+	maxDoublings = 2
 	// stallFactor is how many times the usual duration makes an attempt stalled.
 	// One request in a hundred takes five times as long on a sound server.
 	stallFactor = 2.0
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -99,8 +99,8 @@
 	rateWeight = 0.05
 	// quotaShare is the share of the quota's ratio that is used; the rest covers
 	// requests whose callers reached no instance.
-	quotaShare = 0.85
+	quotaShare = 0.9
 	// quotaParts is the number of instances beyond the active ones among which
 	// the allowance is divided, for those that replace others within a window.
-	quotaParts = 3
+	quotaParts = 2
 )
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -58,7 +58,7 @@
 	// finds the others when it returns.
 	forgetAfter = 90 * time.Second
 	// settleTime is how long a new instance listens before it takes a place.
-	settleTime = 300 * time.Millisecond
+	settleTime = 150 * time.Millisecond
 	// youngTime is how long a restarted instance ranks behind the others, since
 	// it may be in a loop of crashes.
 	youngTime = 4 * time.Second
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -129,7 +129,11 @@
 		Clock: p.clock,
 	})
 	p.copier = follow.NewCopier(follow.CopierOptions{Peers: snapshot.NewClient(), Sink: sink{p}, Clock: p.clock})
-	p.servers = upstream.NewPool(upstream.PoolOptions{Clock: p.clock, Dialect: p.options.Adapter.Servers()})
+	p.servers = upstream.NewPool(upstream.PoolOptions{
+		Clock:   p.clock,
+		Dialect: p.options.Adapter.Servers(),
+		Domain:  s.Domain,
+	})
 	p.engine = dispatch.New(dispatch.Options{Sites: sites{p}, Sender: p.servers, Clock: p.clock, Journal: book})
 	p.control = core.New(core.Options{
 		Self: workset.Beat{
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -12,7 +12,7 @@
 	// beyond its time.
 	stalePeriods = 3
 	// stopMargin is the time that is left before the kill.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 800 * time.Millisecond
 	// idleStop is how long an instance that serves nobody says that it leaves.
 	idleStop = 300 * time.Millisecond
 	// stopPoll is the interval of checks for callers during a stop.
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -22,10 +22,12 @@
 	poolHeader = 8 << 10
 	// poolBody is the largest body of an answer in bytes.
 	poolBody = 16 << 20
-	// poolConnect bounds the opening of a connection: a round trip between
-	// failure domains takes about 10 ms, and a lost packet is sent again only
-	// after a second, in which another server has answered.
-	poolConnect = 200 * time.Millisecond
+	// connectNear and connectFar bound the opening of a connection in the own and
+	// to another failure domain. A round trip takes well below 1 ms and about
+	// 10 ms, and a lost packet is sent again only after a second, in which another
+	// server has answered.
+	connectNear = 60 * time.Millisecond
+	connectFar  = 110 * time.Millisecond
 	// reuseWithin is how long an idle connection may be reused. A path that
 	// carried an answer this short ago is most likely still there; over a path
 	// that is cut, a new connection fails before anything is sent.
@@ -41,6 +43,8 @@
 type PoolOptions struct {
 	Clock   fleet.Clock
 	Dialect Dialect
+	// Domain is the failure domain of this instance.
+	Domain fleet.Domain
 }
 
 // Pool sends requests to servers over connections that it opens as needed. Its
@@ -90,7 +94,7 @@
 	var none exchange.Response
 	c, reused := p.take(attempt.Server.Incarnation)
 	if c == nil {
-		dialed, err := p.dial(ctx, attempt.Server.Address, attempt.Deadline)
+		dialed, err := p.dial(ctx, attempt.Server, attempt.Deadline)
 		if err != nil {
 			return none, err
 		}
@@ -156,14 +160,18 @@
 }
 
 // dial opens a connection before the deadline and the limit for connecting.
-func (p *Pool) dial(ctx context.Context, address fleet.Address, deadline time.Time) (*conn, *Error) {
+func (p *Pool) dial(ctx context.Context, server registry.Server, deadline time.Time) (*conn, *Error) {
+	within := connectNear
+	if server.Domain != p.options.Domain {
+		within = connectFar
+	}
 	now := p.options.Clock.Now()
-	limit := earlier(now.Add(poolConnect), deadline)
+	limit := earlier(now.Add(within), deadline)
 	if !now.Before(limit) {
 		return nil, &Error{Fault: TimedOut}
 	}
 	dialer := net.Dialer{Deadline: limit, KeepAlive: -1, Control: boundUnacked}
-	socket, err := dialer.DialContext(ctx, "tcp4", string(address))
+	socket, err := dialer.DialContext(ctx, "tcp4", string(server.Address))
 	switch {
 	case err == nil:
 		p.count()
