--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -121,6 +121,11 @@
 func TestCopyOfAnotherDomain(t *testing.T) {
 	l, r, clock := newTestLoop()
 	l.Listed(follow.Listing{Revision: 10, Age: time.Millisecond}, false)
+	clock.Advance(time.Second)
+	apply(l)
+	l.state.tick()
+	require.True(t, r.watching)
+	l.Lost(errors.New("the store answered 503"))
 	apply(l)
 	for range 5 {
 		clock.Advance(200 * time.Millisecond)
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -222,11 +222,12 @@
 
 // beat sends a beat if one is due.
 func (s *state) beat() {
-	beat, to := s.working.Due(s.options.Clock.Now(), s.urgent)
-	s.urgent = false
-	if len(to) > 0 {
-		s.options.Peers.Send(beat, to)
+	for _, sending := range s.working.Due(s.options.Clock.Now(), s.urgent) {
+		if len(sending.To) > 0 {
+			s.options.Peers.Send(sending.Beat, sending.To)
+		}
 	}
+	s.urgent = false
 }
 
 // quota returns the part of the fleet's quota that this instance may use.
--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -17,11 +17,12 @@
 
 // State holds what is known of the instances. One goroutine owns it.
 type State struct {
-	options  Options
-	self     Beat
-	peers    map[fleet.InstanceID]*peer
-	view     *View
-	lastBeat time.Time
+	options Options
+	self    Beat
+	peers   map[fleet.InstanceID]*peer
+	view    *View
+	nearAt  time.Time
+	farAt   time.Time
 }
 
 // New returns a state that knows only this instance.
@@ -117,35 +118,67 @@
 	}
 }
 
-// Due returns the beat to send and to whom, or no addresses if none is due.
-func (s *State) Due(now time.Time, urgent bool) (Beat, []fleet.Address) {
-	every := slowEvery
-	if s.view.place != Idle || s.self.Leaving {
-		every = fastEvery
-	}
+// Sending is a beat with the addresses that get it.
+type Sending struct {
+	Beat Beat
+	To   []fleet.Address
+}
+
+// Due returns the beats to send. Instances of other failure domains get them less
+// often, since bytes between failure domains are paid for; they matter there only
+// when a whole failure domain has no instance left.
+func (s *State) Due(now time.Time, urgent bool) []Sending {
+	near, far := slowEvery, slowFarEvery
 	lonely := s.view.live == 0
-	if lonely {
-		every = fastEvery
+	if s.view.place != Idle || s.self.Leaving || lonely {
+		near, far = fastEvery, fastFarEvery
 	}
-	if !urgent && now.Sub(s.lastBeat) < every {
-		return Beat{}, nil
+	nearDue := urgent || now.Sub(s.nearAt) >= near
+	farDue := urgent || lonely && nearDue || now.Sub(s.farAt) >= far
+	if !nearDue && !farDue {
+		return nil
 	}
-	s.lastBeat = now
 	beat := s.self
-	beat.Every = every
 	beat.Uptime = now.Sub(s.options.Start)
 	beat.Asks = lonely
-	return beat, s.targets()
+	var due []Sending
+	if nearDue {
+		s.nearAt = now
+		beat.Every = near
+		due = append(due, Sending{Beat: beat, To: s.near()})
+	}
+	if farDue {
+		s.farAt = now
+		beat.Every = far
+		due = append(due, Sending{Beat: beat, To: s.far()})
+	}
+	return due
+}
+
+// near returns the addresses of the others in the own failure domain.
+func (s *State) near() []fleet.Address {
+	var addresses []fleet.Address
+	for _, p := range s.peers {
+		if p.beat.Domain == s.self.Domain {
+			addresses = append(addresses, p.beat.Peer)
+		}
+	}
+	return addresses
 }
 
-// targets returns the addresses of all others that are known.
-func (s *State) targets() []fleet.Address {
-	addresses := make([]fleet.Address, 0, len(s.peers)+len(s.options.Seeds))
+// far returns the addresses of the others in other failure domains, and those of
+// seeds that were not heard.
+func (s *State) far() []fleet.Address {
+	known := make(map[fleet.Address]bool, len(s.peers))
+	var addresses []fleet.Address
 	for _, p := range s.peers {
-		addresses = append(addresses, p.beat.Peer)
+		known[p.beat.Peer] = true
+		if p.beat.Domain != s.self.Domain {
+			addresses = append(addresses, p.beat.Peer)
+		}
 	}
 	for _, seed := range s.options.Seeds {
-		if seed != s.self.Peer && !slices.Contains(addresses, seed) {
+		if seed != s.self.Peer && !known[seed] {
 			addresses = append(addresses, seed)
 		}
 	}
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -49,6 +49,9 @@
 	// slowEvery that of idle ones.
 	fastEvery = 200 * time.Millisecond
 	slowEvery = time.Second
+	// fastFarEvery and slowFarEvery are those to other failure domains.
+	fastFarEvery = 400 * time.Millisecond
+	slowFarEvery = 4 * time.Second
 	// silentBeats is the number of missing beats after which an instance counts
 	// as gone; single datagrams are lost now and then.
 	silentBeats = 4
