--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -46,9 +46,12 @@
 	rate        float64
 	started     int64
 	watching    bool
-	storeLost   bool
-	urgent      bool
-	ticked      time.Time
+	// helpUntil is until when an instance that is not active reads the store.
+	helpUntil time.Time
+	ticks     int
+	storeLost bool
+	urgent    bool
+	ticked    time.Time
 }
 
 // New returns a loop that does not run yet.
@@ -131,6 +134,10 @@
 		s.options.Events.Gone(id, true)
 	}
 	s.applyServers()
+	s.ticks++
+	if s.working.View().Place() == workset.Idle && !s.stopping && s.ticks%idleTicks != 0 {
+		return
+	}
 	s.measure(now)
 	s.place(now)
 	s.tell(now)
@@ -173,7 +180,23 @@
 		s.options.Events.Working(s.activeAddresses())
 		s.shareQuota()
 	}
-	s.watch(view.Place() != workset.Idle)
+	s.watch(s.mustWatch(now))
+}
+
+// mustWatch reports whether this instance reads the store. Active ones do, and
+// their beats keep all others current. When the copy ages, which happens when the
+// store turns the active ones away, the next ones in rank read it as well.
+func (s *state) mustWatch(now time.Time) bool {
+	view := s.working.View()
+	if view.Place() == workset.Active {
+		return true
+	}
+	age := now.Sub(s.confirmedAt)
+	rank := view.Rank()
+	if !s.confirmedAt.IsZero() && (age > ownAfter && rank <= firstHelpers || age > ownAfter+helpPause && rank <= lastHelpers) {
+		s.helpUntil = now.Add(helpFor)
+	}
+	return now.Before(s.helpUntil)
 }
 
 // watch starts or ends the reading of the store.
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -81,6 +81,16 @@
 const (
 	// tickEvery is the interval of the control goroutine's own work.
 	tickEvery = 100 * time.Millisecond
+	// idleTicks is the number of ticks of an idle instance for one computation of
+	// the order of instances.
+	idleTicks = 3
+	// firstHelpers and lastHelpers are the ranks up to which instances read the
+	// store when the copy is older than ownAfter, and helpPause later.
+	firstHelpers = 1
+	lastHelpers  = 3
+	helpPause    = 400 * time.Millisecond
+	// helpFor is how long they go on.
+	helpFor = 10 * time.Second
 	// queueSize bounds the commands that wait.
 	queueSize = 256
 	// lapseGrace is how long a server that is missing after an outage of the
--- a/core/workset/order.go
+++ b/core/workset/order.go
@@ -86,6 +86,9 @@
 	for i, c := range candidates {
 		active := i == 0 || need > 0
 		self := c.beat.Member == s.self.Member
+		if self {
+			v.rank = i
+		}
 		switch {
 		case active && self:
 			v.place = Active
--- a/core/workset/queries.go
+++ b/core/workset/queries.go
@@ -12,9 +12,9 @@
 type Place uint8
 
 const (
-	// Idle instances serve nobody and read nothing.
+	// Idle instances serve only callers with an old answer of the directory.
 	Idle Place = iota
-	// Standby instances have a current configuration and serve nobody.
+	// Standby instances are the next to be active.
 	Standby
 	// Active instances serve callers.
 	Active
@@ -26,6 +26,7 @@
 	domains map[fleet.Domain][]Beat
 	standby map[fleet.Domain]bool
 	place   Place
+	rank    int
 	live    int
 }
 
@@ -35,6 +36,9 @@
 // Place returns the part of this instance.
 func (v *View) Place() Place { return v.place }
 
+// Rank returns the position of this instance in its failure domain, from 0.
+func (v *View) Rank() int { return v.rank }
+
 // Live returns the number of other instances that are live.
 func (v *View) Live() int { return v.live }
 
