Keep the floor of servers that get requests while a service fails

Change: while more than 7 in 100 protected requests fail, servers that may be sound get a request each 1.2 s, suspected ones 3 s after their last failure. TestFloor fails without the change.

--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -65,18 +65,25 @@
 		pool:       p,
 		server:     chosen,
 		kind:       ask.Kind,
+		idempotent: ask.Idempotent,
 		started:    now,
 		waited:     waited,
 		stallAfter: time.Duration(stallFactor*float64(expected)) + waited + stallSlack,
 	}
 	chosen.leases = append(chosen.leases, lease)
 	chosen.triedAt = now
+	if !trial {
+		p.recent.start(now)
+	}
 	return lease, Chosen
 }
 
 // choose returns the server with the lowest cost, and whether the request is a
 // trial of a server that is suspected.
 func (p *Pool) choose(now time.Time, ask Ask, expected time.Duration) (*server, bool) {
+	if s := p.cover(now, ask); s != nil {
+		return s, false
+	}
 	var best, trial *server
 	var bestCost, trialCost float64
 	pause := p.trialPause(now, ask, expected)
@@ -190,6 +197,12 @@
 	if result == Abandoned && took > l.stallAfter {
 		result = Stalled
 	}
+	if result == Failed || result == Stalled {
+		s.failedAt = now
+		if !l.idempotent {
+			p.recent.fail(now)
+		}
+	}
 	switch result {
 	case Succeeded:
 		p.succeeded(now, l, took)
--- /dev/null
+++ b/core/balance/cover.go
@@ -0,0 +1,105 @@
+package balance
+
+import "time"
+
+// While a service fails a part of its requests, a choice by belief alone would
+// send all requests to few servers. That is ejection of the others without their
+// being bad, so each server that may be sound gets a request now and then.
+
+const (
+	// coverAbove is the share of requests that fail above which servers are
+	// covered. Idempotent requests do not count as failed, since second attempts
+	// serve most of them, and single errors of sound servers stay below.
+	coverAbove = 0.07
+	// coverEvery is the longest time without a request for a server that may be
+	// sound, while servers are covered.
+	coverEvery = 1200 * time.Millisecond
+	// coverSuspected is the time after its last failure after which a suspected
+	// server is covered too.
+	coverSuspected = 3 * time.Second
+	// coverPause is the least time between requests to suspected servers for
+	// that reason.
+	coverPause = 250 * time.Millisecond
+	// tallySlots are the parts of the time for which failures are counted.
+	tallySlots = 10
+	tallySlot  = 250 * time.Millisecond
+)
+
+// tally counts the attempts of the last seconds and those that failed.
+type tally struct {
+	started [tallySlots]int
+	failed  [tallySlots]int
+	tick    int64
+}
+
+// advance clears the parts that have passed.
+func (t *tally) advance(now time.Time) int64 {
+	tick := now.UnixNano() / int64(tallySlot)
+	for i := max(t.tick+1, tick-tallySlots+1); i <= tick; i++ {
+		t.started[i%tallySlots], t.failed[i%tallySlots] = 0, 0
+	}
+	t.tick = max(t.tick, tick)
+	return t.tick % tallySlots
+}
+
+func (t *tally) start(now time.Time) { t.started[t.advance(now)]++ }
+
+func (t *tally) fail(now time.Time) { t.failed[t.advance(now)]++ }
+
+// share returns the share of failures, where the given number of attempts has
+// not ended but most likely fails.
+func (t *tally) share(now time.Time, stalled int) float64 {
+	t.advance(now)
+	started, failed := 0, stalled
+	for i := range t.started {
+		started += t.started[i]
+		failed += t.failed[i]
+	}
+	if started == 0 {
+		return 0
+	}
+	return float64(failed) / float64(started)
+}
+
+// cover returns the server that has been without a request for longest, if
+// requests of the service fail and that is too long.
+func (p *Pool) cover(now time.Time, ask Ask) *server {
+	stalled := 0
+	for _, s := range p.list {
+		for _, l := range s.leases {
+			if !l.idempotent && now.Sub(l.started) > l.stallAfter {
+				stalled++
+			}
+		}
+	}
+	if p.recent.share(now, stalled) < coverAbove {
+		return nil
+	}
+	var longest *server
+	for _, s := range p.list {
+		if s.info.Domain != p.options.Domain || now.Sub(s.triedAt) < coverEvery || now.Before(s.cutUntil) || excluded(ask.Exclude, s.info.Incarnation) {
+			continue
+		}
+		if !p.mayCover(now, s) {
+			continue
+		}
+		if longest == nil || s.triedAt.Before(longest.triedAt) {
+			longest = s
+		}
+	}
+	if longest != nil && longest.belief.now(now) >= suspectAbove {
+		p.coveredAt = now
+	}
+	return longest
+}
+
+// mayCover reports whether a server may be sound.
+func (p *Pool) mayCover(now time.Time, s *server) bool {
+	if len(s.leases) > 0 {
+		return false
+	}
+	if s.belief.now(now) < suspectAbove {
+		return true
+	}
+	return now.Sub(s.failedAt) >= coverSuspected && now.Sub(p.coveredAt) >= coverPause
+}
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -93,6 +93,10 @@
 	keys    map[Key]*server
 	toldAt  time.Time
 	usual   estimates
+	// recent counts attempts for coverage, coveredAt is the last request to a
+	// suspected server for that reason.
+	recent    tally
+	coveredAt time.Time
 }
 
 // NewPool returns a pool without servers.
@@ -113,10 +117,11 @@
 	// Expected is the usual duration.
 	Expected time.Duration
 
-	pool    *Pool
-	server  *server
-	kind    Kind
-	started time.Time
+	pool       *Pool
+	server     *server
+	kind       Kind
+	idempotent bool
+	started    time.Time
 	// waited is how long the attempt waits for a slot, as far as is known.
 	waited     time.Duration
 	stallAfter time.Duration
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -21,6 +21,8 @@
 	belief    belief
 	suspected bool
 	since     time.Time
+	// failedAt is when the last attempt failed.
+	failedAt time.Time
 	// triedAt is when the last attempt began, stalls counts those in a row that
 	// brought no answer.
 	triedAt time.Time
