Let the next in rank read the store when it turns an instance away

Ruled out: watches on standby instances at all times, which double the calls. Change: beats say that the store does not answer; the first in rank that it answers reads it. TestReaderAfterLoss fails without the change.

--- a/core/follow/follower.go
+++ b/core/follow/follower.go
@@ -12,13 +12,17 @@
 	// watchWait is how long the store keeps a watch without changes. Its end
 	// confirms the copy, so the copy is at most this old; each watch is a call
 	// that is paid for.
-	watchWait = time.Second
+	watchWait = 800 * time.Millisecond
 	// callLimit bounds a call beyond the time that it waits.
-	callLimit = 700 * time.Millisecond
+	callLimit = 400 * time.Millisecond
+	// listLimit bounds a complete listing, which may have many pages.
+	listLimit = 5 * time.Second
 	// gatherPause lets changes that come together arrive in one call.
 	gatherPause = 60 * time.Millisecond
-	// retryPause is the time between calls to a store that fails.
-	retryPause = 250 * time.Millisecond
+	// retryPause is the time between calls to a store that fails; it doubles up
+	// to maxRetryPause.
+	retryPause    = 200 * time.Millisecond
+	maxRetryPause = 800 * time.Millisecond
 	// outageAfter is how long the store must have been away for servers to have
 	// lapsed meanwhile.
 	outageAfter = time.Second
@@ -44,9 +48,10 @@
 	enabled  bool
 	listed   bool
 	revision fleet.Revision
-	// goodAt is the last answer of the store, lostAt the first failure since.
-	goodAt time.Time
+	// lostAt is the first failure since the last answer of the store.
 	lostAt time.Time
+	// failures counts the calls that failed in a row.
+	failures int
 }
 
 // New returns a follower that is not enabled.
@@ -94,7 +99,6 @@
 		}
 		f.listed = false
 		f.lostAt = time.Time{}
-		f.goodAt = time.Time{}
 		select {
 		case f.enabled = <-f.wanted:
 		case <-ctx.Done():
@@ -129,7 +133,7 @@
 
 // list reads a complete listing.
 func (f *Follower) list(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, 2*callLimit)
+	call, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
 	listing, err := f.options.Store.List(call)
 	if err != nil {
@@ -154,8 +158,8 @@
 	if !f.lostAt.IsZero() {
 		f.options.Sink.Regained(now.Sub(f.lostAt))
 	}
-	f.goodAt = now
 	f.lostAt = time.Time{}
+	f.failures = 0
 }
 
 // failed waits before the next call to the store. Peers hand on their copies
@@ -174,5 +178,6 @@
 		// from its history, and a listing shows lapsed servers as missing.
 		f.listed = false
 	}
-	_ = f.options.Clock.Sleep(ctx, retryPause)
+	f.failures++
+	_ = f.options.Clock.Sleep(ctx, min(retryPause<<min(f.failures-1, 2), maxRetryPause))
 }
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -93,7 +93,10 @@
 // Lost implements follow.Sink.
 func (l *Loop) Lost(err error) {
 	l.options.Events.StoreLost(err)
-	l.do(context.Background(), func(s *state) { s.storeLost = true })
+	l.do(context.Background(), func(s *state) {
+		s.storeLost = true
+		s.place(s.options.Clock.Now())
+	})
 }
 
 // Regained implements follow.Sink.
@@ -118,7 +121,7 @@
 		if reply != "" {
 			s.options.Peers.Send(s.working.Introduce(now), []fleet.Address{reply})
 		}
-		if joined || beat.Leaving {
+		if joined || beat.Leaving || beat.Lost && s.working.View().Rank() <= lastHelpers {
 			s.place(now)
 		}
 	})
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -229,3 +229,33 @@
 	require.ErrorIs(t, route.Validate(*document(6, "no-slash")), route.ErrInvalid)
 	require.False(t, errors.Is(route.Validate(*document(6, "/x/")), route.ErrInvalid))
 }
+
+// TestReaderAfterLoss guards against a fleet that learns of no change while the
+// store turns away just the active instances: the next in rank must read it.
+func TestReaderAfterLoss(t *testing.T) {
+	tests := []struct {
+		name string
+		lost bool
+		want bool
+	}{
+		{"the active instance reads", false, false},
+		{"the active instance is turned away", true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, r, clock := newTestLoop()
+			l.Listed(follow.Listing{Revision: 10, Age: time.Millisecond}, false)
+			clock.Advance(time.Second)
+			active := peerBeat("a-2", "a", 10, 100*time.Millisecond)
+			active.Cores = 2
+			active.Lost = test.lost
+			for range 3 {
+				clock.Advance(100 * time.Millisecond)
+				l.Heard(active)
+				apply(l)
+				l.state.tick()
+			}
+			require.Equal(t, test.want, r.watching)
+		})
+	}
+}
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -163,6 +163,7 @@
 		Leaving:  s.stopping,
 		Ready:    loaded && !s.stopping,
 		Slow:     s.slow,
+		Lost:     s.watching && s.storeLost,
 		Rate:     s.rate,
 		Version:  s.routes.Version(),
 		Revision: s.revision,
@@ -184,8 +185,8 @@
 }
 
 // mustWatch reports whether this instance reads the store. Active ones do, and
-// their beats keep all others current. When the copy ages, which happens when the
-// store turns the active ones away, the next ones in rank read it as well.
+// their beats keep all others current. When the store turns them away, the next
+// one in rank reads it, and more do when the copy ages all the same.
 func (s *state) mustWatch(now time.Time) bool {
 	view := s.working.View()
 	if view.Place() == workset.Active {
@@ -193,6 +194,9 @@
 	}
 	age := now.Sub(s.confirmedAt)
 	rank := view.Rank()
+	if view.Reader() {
+		s.helpUntil = now.Add(helpFor)
+	}
 	if !s.confirmedAt.IsZero() && (age > ownAfter && rank <= firstHelpers || age > ownAfter+helpPause && rank <= lastHelpers) {
 		s.helpUntil = now.Add(helpFor)
 	}
--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -37,6 +37,7 @@
 	Leaving  bool
 	Ready    bool
 	Slow     bool
+	Lost     bool
 	Rate     float64
 	Version  fleet.Version
 	Revision fleet.Revision
@@ -46,9 +47,10 @@
 // SetCondition takes what this instance knows of itself. It reports whether the
 // others should be told at once.
 func (s *State) SetCondition(c Condition) bool {
-	urgent := c.Leaving != s.self.Leaving || c.Ready != s.self.Ready || c.Slow != s.self.Slow
+	urgent := c.Leaving != s.self.Leaving || c.Ready != s.self.Ready || c.Slow != s.self.Slow || c.Lost != s.self.Lost
 	urgent = urgent || s.view.place == Active && c.Revision != s.self.Revision
 	s.self.Leaving, s.self.Ready, s.self.Slow = c.Leaving, c.Ready, c.Slow
+	s.self.Lost = c.Lost
 	s.self.Rate, s.self.Version = c.Rate, c.Version
 	s.self.Revision, s.self.Age = c.Revision, c.Age
 	return urgent
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -16,6 +16,8 @@
 	Leaving bool
 	// Ready instances have a configuration and servers.
 	Ready bool
+	// Lost instances get no answer from the store.
+	Lost bool
 	// Slow instances run on a machine that lags.
 	Slow bool
 	// Every is the time to the next beat.
@@ -72,6 +74,9 @@
 	// instance ranks behind the others. While the store is down all copies age
 	// alike.
 	staleLead = 2500 * time.Millisecond
+	// maxReaders is the number of ranks among which the reader of the store is
+	// looked for. While the store is down, no more instances call it.
+	maxReaders = 5
 	// maxContacts bounds the contacts of one beat, which is one datagram.
 	maxContacts = 48
 )
--- a/core/workset/order.go
+++ b/core/workset/order.go
@@ -83,12 +83,17 @@
 		)
 	})
 	need := rate / ratePerCore
+	reader := false
 	for i, c := range candidates {
 		active := i == 0 || need > 0
 		self := c.beat.Member == s.self.Member
 		if self {
 			v.rank = i
 		}
+		if !reader && i < maxReaders && !c.beat.Lost {
+			reader = true
+			v.reader = v.reader || self
+		}
 		switch {
 		case active && self:
 			v.place = Active
--- a/core/workset/queries.go
+++ b/core/workset/queries.go
@@ -27,6 +27,7 @@
 	standby map[fleet.Domain]bool
 	place   Place
 	rank    int
+	reader  bool
 	live    int
 }
 
@@ -39,6 +40,10 @@
 // Rank returns the position of this instance in its failure domain, from 0.
 func (v *View) Rank() int { return v.rank }
 
+// Reader reports whether this instance is the first in its failure domain that
+// the store answers, as far as is known.
+func (v *View) Reader() bool { return v.reader }
+
 // Live returns the number of other instances that are live.
 func (v *View) Live() int { return v.live }
 
