--- /dev/null
+++ b/io/upstream/pool_test.go
@@ -0,0 +1,203 @@
+package upstream_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/dispatch"
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/registry"
+	"galenaridge/io/upstream"
+	"galenaridge/platform"
+	"galenaridge/standin/backend"
+)
+
+// newBackend starts a server and returns it with its entry.
+func newBackend(t *testing.T, id string) (*backend.Server, registry.Server) {
+	t.Helper()
+	s, err := backend.Listen(id, time.Millisecond)
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s, registry.Server{
+		Incarnation: registry.Incarnation{ID: fleet.ServerID(id), Born: 1},
+		Service:     "s",
+		Domain:      "a",
+		Address:     fleet.Address(s.Address()),
+		Slots:       4,
+	}
+}
+
+func newPool(t *testing.T) *upstream.Pool {
+	t.Helper()
+	p := upstream.NewPool(upstream.PoolOptions{Clock: clockwork.NewRealClock(), Dialect: platform.ServerDialect{}, Domain: "a"})
+	t.Cleanup(p.Close)
+	return p
+}
+
+func attemptAt(server registry.Server, id, body string) dispatch.Attempt {
+	deadline := time.Now().Add(300 * time.Millisecond)
+	return dispatch.Attempt{
+		Server:   server,
+		Deadline: deadline,
+		MayWrite: func() bool { return true },
+		Request: exchange.Request{
+			ID: exchange.RequestID(id), Host: "h.example", Method: "POST", URI: "/a/b?q=1", Body: []byte(body), Deadline: deadline,
+			Headers: []exchange.Header{
+				{Name: "X-Other", Value: "kept"},
+				{Name: "Connection", Value: "X-Hop"},
+				{Name: "X-Hop", Value: "dropped"},
+				{Name: "galenaridge-deadline-ms", Value: "999999"},
+			},
+		},
+	}
+}
+
+// TestPoolAnswers guards against answers that are not whole, not the server's, or
+// of another request being passed on, and against wrong statements about whether
+// a request ran.
+func TestPoolAnswers(t *testing.T) {
+	tests := []struct {
+		name     string
+		fault    backend.Fault
+		status   int
+		code     exchange.Code
+		complete bool
+		declined bool
+		ran      bool
+	}{
+		{"whole", backend.None, 200, "", true, false, true},
+		{"own error", backend.Err, 500, "", true, false, true},
+		{"shed", backend.Shed, 503, exchange.Overloaded, false, true, false},
+		{"stalled", backend.Stall, 504, exchange.UpstreamTimeout, false, false, true},
+		{"truncated", backend.Truncate, 504, exchange.UpstreamLost, false, false, true},
+		{"garbage", backend.Garbage, 502, exchange.BadAnswer, false, false, true},
+		{"second answer", backend.Extra, 200, "", true, false, true},
+		{"no length", backend.Unframed, 200, "", true, false, true},
+		{"no length and reset", backend.UnframedReset, 504, exchange.UpstreamLost, false, false, true},
+		{"another request", backend.WrongID, 502, exchange.BadAnswer, false, false, true},
+		{"no signature", backend.Unsigned, 502, exchange.BadAnswer, false, false, true},
+		{"encoded", backend.Encoded, 502, exchange.BadAnswer, false, false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, entry := newBackend(t, "i-1")
+			s.SetFault(test.fault)
+			response, evidence := newPool(t).Send(context.Background(), attemptAt(entry, "r1", "body"))
+			require.Equal(t, test.code, response.Code, "%v", evidence.Err)
+			require.Equal(t, test.status, response.Status)
+			require.Equal(t, test.complete, evidence.Complete)
+			require.Equal(t, test.declined, evidence.Declined)
+			require.True(t, evidence.Written)
+			require.Len(t, s.Runs(), map[bool]int{true: 1}[test.ran])
+			if test.complete && test.status == 200 {
+				require.Equal(t, "i-1 /a/b", string(response.Body))
+			}
+		})
+	}
+}
+
+// TestPoolAfterSpoiledAnswers guards against the answer of one request being
+// taken for that of the next on a connection.
+func TestPoolAfterSpoiledAnswers(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault backend.Fault
+	}{
+		{"second answer", backend.Extra},
+		{"garbage", backend.Garbage},
+		{"truncated", backend.Truncate},
+		{"another request", backend.WrongID},
+		{"no signature", backend.Unsigned},
+		{"stalled", backend.Stall},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, entry := newBackend(t, "i-1")
+			p := newPool(t)
+			s.SetFault(test.fault)
+			_, _ = p.Send(context.Background(), attemptAt(entry, "r1", ""))
+			s.SetFault(backend.None)
+			response, evidence := p.Send(context.Background(), attemptAt(entry, "r2", ""))
+			require.True(t, evidence.Complete, "%v", evidence.Err)
+			require.Contains(t, response.Headers, exchange.Header{Name: "Galenaridge-Request-Id", Value: "r2"})
+		})
+	}
+}
+
+// TestPoolMisdirected guards against requests to a server that has taken over the
+// address of another.
+func TestPoolMisdirected(t *testing.T) {
+	s, entry := newBackend(t, "i-new")
+	entry.ID = "i-old"
+	response, evidence := newPool(t).Send(context.Background(), attemptAt(entry, "r1", ""))
+	require.True(t, evidence.Misdirected)
+	require.True(t, evidence.Declined)
+	require.Equal(t, fleet.NotRun, response.Outcome)
+	require.Empty(t, s.Runs())
+}
+
+// TestPoolForwards guards against changed requests, headers of one hop that are
+// passed on, and deadlines beyond that of the caller.
+func TestPoolForwards(t *testing.T) {
+	s, entry := newBackend(t, "i-1")
+	long := strings.Repeat("x", 64<<10)
+	for _, body := range []string{"", "short", long} {
+		_, evidence := newPool(t).Send(context.Background(), attemptAt(entry, "r1", body))
+		require.True(t, evidence.Complete, "%v", evidence.Err)
+	}
+	runs := s.Runs()
+	require.Len(t, runs, 3)
+	require.Equal(t, "/a/b?q=1", runs[0].URI)
+	require.Equal(t, "POST", runs[0].Method)
+	require.Equal(t, long, runs[2].Body)
+	for _, run := range runs {
+		require.Len(t, run.Deadline, 3, "the deadline is what is left of 300 ms")
+	}
+}
+
+// TestPoolUnsent guards against attempts that count as run though nothing was
+// sent.
+func TestPoolUnsent(t *testing.T) {
+	s, entry := newBackend(t, "i-1")
+	refused := entry
+	refused.Address = "127.0.0.1:1"
+	denied := attemptAt(entry, "r1", "")
+	denied.MayWrite = func() bool { return false }
+	late := attemptAt(entry, "r1", "")
+	late.Deadline = time.Now().Add(-time.Second)
+	tests := []struct {
+		name    string
+		attempt dispatch.Attempt
+	}{
+		{"connection refused", attemptAt(refused, "r1", "")},
+		{"no longer listed", denied},
+		{"deadline passed", late},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			response, evidence := newPool(t).Send(context.Background(), test.attempt)
+			require.False(t, evidence.Written)
+			require.Equal(t, fleet.NotRun, response.Outcome)
+		})
+	}
+	require.Empty(t, s.Runs())
+}
+
+// TestPoolCancel guards against servers that work on for a caller that has left.
+func TestPoolCancel(t *testing.T) {
+	s, entry := newBackend(t, "i-1")
+	s.SetFault(backend.Stall)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, evidence := newPool(t).Send(ctx, attemptAt(entry, "r1", ""))
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+	require.True(t, evidence.Written)
+	require.False(t, evidence.Complete)
+}
