--- /dev/null
+++ b/core/retry/window_test.go
@@ -0,0 +1,57 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestWindow guards against repeats beyond the quota in any span of time.
+func TestWindow(t *testing.T) {
+	quota := Quota{Ratio: 0.2, Allowance: 5, Span: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewWindow(quota)
+		now := time.Unix(1_000_000, 0)
+		var firsts, repeats []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				w.First(now)
+				firsts = append(firsts, now)
+			} else if w.Spend(now) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			made, allowed := 0, quota.Allowance
+			for _, at := range repeats {
+				if !at.After(end) && end.Sub(at) < quota.Span {
+					made++
+				}
+			}
+			for _, at := range firsts {
+				if !at.After(end) && end.Sub(at) < quota.Span {
+					allowed += quota.Ratio
+				}
+			}
+			if float64(made) > allowed+1e-9 {
+				t.Fatalf("%d repeats with %.1f allowed", made, allowed)
+			}
+		}
+	})
+}
+
+// TestWindowForgets guards against a quota that stays used up.
+func TestWindowForgets(t *testing.T) {
+	w := NewWindow(Quota{Allowance: 2, Span: 10 * time.Second})
+	now := time.Unix(1_000_000, 0)
+	require.True(t, w.Spend(now))
+	require.True(t, w.Spend(now))
+	require.False(t, w.Spend(now.Add(9*time.Second)))
+	require.True(t, w.Spend(now.Add(11*time.Second)))
+	w.SetQuota(Quota{Allowance: 1})
+	require.False(t, w.Spend(now.Add(12*time.Second)))
+	require.True(t, w.Spend(now.Add(time.Hour)))
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,133 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/fleet"
+)
+
+func document(version fleet.Version, routes ...Route) Document {
+	for i := range routes {
+		routes[i].Timeout = time.Second
+		if routes[i].Backends == nil {
+			routes[i].Backends = []Backend{{Service: "s", Weight: 1}}
+		}
+	}
+	return Document{Version: version, Services: []Service{{Name: "s"}, {Name: "t"}}, Routes: routes}
+}
+
+// TestMatch guards against requests that take the route of another prefix or host.
+func TestMatch(t *testing.T) {
+	s := NewState()
+	adopted, err := s.Adopt(document(1,
+		Route{Name: "root", Host: "one", Prefix: "/"},
+		Route{Name: "a", Host: "one", Prefix: "/a/"},
+		Route{Name: "ab", Host: "one", Prefix: "/a/b/"},
+		Route{Name: "two", Host: "Two", Prefix: "/x/"},
+	))
+	require.NoError(t, err)
+	require.True(t, adopted)
+	tests := []struct {
+		host string
+		path string
+		want string
+	}{
+		{"one", "/", "root"},
+		{"one", "/a/", "a"},
+		{"one", "/a/b/c/d/e", "ab"},
+		{"one", "/a/bc", "a"},
+		{"one", "/a", "root"},
+		{"one", "/a/b", "a"},
+		{"one", "/a/?q=/b/", "a"},
+		{"ONE:8080", "/a/1", "a"},
+		{"two", "/x/1", "two"},
+		{"two", "/y/1", ""},
+		{"two", "/x", ""},
+		{"three", "/a/", ""},
+		{"", "/a/", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.host+test.path, func(t *testing.T) {
+			entry, found := s.Table().Match(test.host, test.path)
+			require.Equal(t, test.want != "", found)
+			if found {
+				require.Equal(t, test.want, entry.Name)
+			}
+		})
+	}
+}
+
+// TestDraw guards against shares that are off their weights after few requests.
+func TestDraw(t *testing.T) {
+	tests := []struct {
+		name    string
+		weights []int
+	}{
+		{"even", []int{1, 1}},
+		{"tenth", []int{90, 10}},
+		{"three", []int{5, 3, 2}},
+		{"one of two", []int{7, 0}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := &Entry{}
+			total := 0
+			for i, w := range test.weights {
+				e.Backends = append(e.Backends, Backend{Service: fleet.ServiceName(rune('a' + i)), Weight: w})
+				total += w
+			}
+			e.total = total
+			counts := make(map[fleet.ServiceName]int)
+			const draws = 100
+			for range draws {
+				counts[e.Draw()]++
+			}
+			for _, b := range e.Backends {
+				require.InDelta(t, float64(b.Weight)/float64(total), float64(counts[b.Service])/draws, 0.03)
+			}
+		})
+	}
+}
+
+// TestAdopt guards against a configuration that goes back, or that is invalid,
+// coming into force.
+func TestAdopt(t *testing.T) {
+	valid := Route{Name: "r", Host: "h", Prefix: "/a/"}
+	tests := []struct {
+		name    string
+		next    Document
+		adopted bool
+		invalid bool
+	}{
+		{"newer", document(6, valid), true, false},
+		{"same", document(5, valid), false, false},
+		{"older", document(4, valid), false, false},
+		{"prefix without slash", document(6, Route{Name: "r", Host: "h", Prefix: "/a"}), false, true},
+		{"no host", document(6, Route{Name: "r", Prefix: "/a/"}), false, true},
+		{"unknown service", document(6, Route{Name: "r", Host: "h", Prefix: "/a/", Backends: []Backend{{Service: "x", Weight: 1}}}), false, true},
+		{"negative weight", document(6, Route{Name: "r", Host: "h", Prefix: "/a/", Backends: []Backend{{Service: "s", Weight: -1}, {Service: "t", Weight: 2}}}), false, true},
+		{"no weight", document(6, Route{Name: "r", Host: "h", Prefix: "/a/", Backends: []Backend{{Service: "s"}}}), false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewState()
+			_, err := s.Adopt(document(5, valid))
+			require.NoError(t, err)
+			adopted, err := s.Adopt(test.next)
+			require.Equal(t, test.adopted, adopted)
+			if test.invalid {
+				require.ErrorIs(t, err, ErrInvalid)
+			} else {
+				require.NoError(t, err)
+			}
+			want := fleet.Version(5)
+			if test.adopted {
+				want = 6
+			}
+			require.Equal(t, want, s.Version())
+		})
+	}
+}
--- /dev/null
+++ b/core/workset/workset_test.go
@@ -0,0 +1,227 @@
+package workset
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/fleet"
+)
+
+var begin = time.Unix(1000, 0)
+
+func beatOf(id string, domain fleet.Domain) Beat {
+	return Beat{
+		Member: fleet.Member{ID: fleet.InstanceID(id), Incarnation: 1},
+		Domain: domain,
+		Peer:   fleet.Address(id + ":1"),
+		Caller: fleet.Address(id),
+		Ready:  true,
+		Every:  time.Second,
+		Cores:  1,
+		Uptime: time.Minute,
+	}
+}
+
+// newFleet returns the states of a fleet in which all have heard all.
+func newFleet(now time.Time, beats ...Beat) []*State {
+	states := make([]*State, 0, len(beats))
+	for _, self := range beats {
+		s := New(Options{Self: self, Start: now.Add(-time.Minute)})
+		for _, other := range beats {
+			s.Heard(now, other)
+		}
+		s.Publish(now)
+		states = append(states, s)
+	}
+	return states
+}
+
+// TestAgreement guards against instances that send callers to different ones, or
+// to none.
+func TestAgreement(t *testing.T) {
+	var beats []Beat
+	for i := range 24 {
+		beats = append(beats, beatOf(fmt.Sprintf("i%02d", i), fleet.Domain(rune('a'+i%3))))
+	}
+	states := newFleet(begin, beats...)
+	active := 0
+	for _, s := range states {
+		require.Equal(t, states[0].View().addresses(), s.View().addresses())
+		if s.View().Place() == Active {
+			active++
+		}
+	}
+	require.Equal(t, 3, active)
+	for _, domain := range []fleet.Domain{"a", "b", "c"} {
+		require.Len(t, states[0].View().Active(domain), 1)
+		require.Equal(t, domain, states[0].View().Active(domain)[0].Domain)
+	}
+	require.Len(t, states[0].View().Active("unknown"), 3, "callers from elsewhere may use all")
+}
+
+// TestRank guards against callers that are sent to an instance that serves them
+// worse than another one.
+func TestRank(t *testing.T) {
+	worse := []struct {
+		name   string
+		change func(b *Beat)
+	}{
+		{"not ready", func(b *Beat) { b.Ready = false }},
+		{"leaving", func(b *Beat) { b.Leaving = true }},
+		{"slow", func(b *Beat) { b.Slow = true }},
+		{"with an old copy", func(b *Beat) { b.Age = staleLead + time.Second }},
+		{"just started", func(b *Beat) { b.Uptime = time.Second }},
+		{"on a smaller machine", func(b *Beat) { b.Cores = 0.5 }},
+	}
+	for _, test := range worse {
+		t.Run(test.name, func(t *testing.T) {
+			for _, bad := range []string{"x", "y"} {
+				beats := []Beat{beatOf("x", "a"), beatOf("y", "a"), beatOf("z", "b")}
+				for i := range beats {
+					if string(beats[i].Member.ID) == bad {
+						test.change(&beats[i])
+					}
+				}
+				observer := newFleet(begin, beats...)[2]
+				active := observer.View().Active("a")
+				require.Len(t, active, 1)
+				require.NotEqual(t, fleet.InstanceID(bad), active[0].Member.ID)
+			}
+		})
+	}
+}
+
+// TestAllCopiesAge guards against a change of the working set while the store is
+// down, when all copies age alike.
+func TestAllCopiesAge(t *testing.T) {
+	beats := []Beat{beatOf("x", "a"), beatOf("y", "a"), beatOf("z", "a")}
+	before := newFleet(begin, beats...)[0].View().addresses()
+	for i := range beats {
+		beats[i].Age = time.Minute + time.Duration(i)*500*time.Millisecond
+	}
+	require.Equal(t, before, newFleet(begin, beats...)[0].View().addresses())
+}
+
+// TestSilence guards against callers that are sent to an instance that has gone,
+// and against one lost datagram that changes the working set.
+func TestSilence(t *testing.T) {
+	tests := []struct {
+		name  string
+		quiet time.Duration
+		live  int
+	}{
+		{"three missing beats", 3 * fastEvery, 1},
+		{"five missing beats", 5 * fastEvery, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			other := beatOf("y", "a")
+			other.Every = fastEvery
+			s := newFleet(begin, beatOf("x", "a"), other)[0]
+			s.Publish(begin.Add(test.quiet))
+			require.Equal(t, test.live, s.View().Live())
+		})
+	}
+}
+
+// TestCapacity guards against too few instances for the load.
+func TestCapacity(t *testing.T) {
+	tests := []struct {
+		name  string
+		rate  float64
+		cores float64
+		want  int
+	}{
+		{"idle", 0, 0.3, 1},
+		{"light", 100, 0.3, 1},
+		{"heavy", 400, 0.3, 3},
+		{"heavy on large machines", 400, 1, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var beats []Beat
+			for i := range 8 {
+				b := beatOf(fmt.Sprintf("i%d", i), "a")
+				b.Cores = test.cores
+				beats = append(beats, b)
+			}
+			beats[0].Rate = test.rate
+			require.Equal(t, test.want, newFleet(begin, beats...)[0].View().ActiveCount())
+		})
+	}
+}
+
+// TestAlone guards against an instance that waits for others which are all gone.
+func TestAlone(t *testing.T) {
+	s := New(Options{Self: beatOf("x", "a"), Start: begin, Seeds: []fleet.Address{"gone:1"}})
+	s.Publish(begin)
+	require.Equal(t, Idle, s.View().Place())
+	s.Publish(begin.Add(settleTime))
+	require.Equal(t, Active, s.View().Place())
+	require.True(t, s.View().Reader())
+}
+
+// TestMeeting guards against instances that never find each other, as when a
+// restarted one knows only seeds that are gone.
+func TestMeeting(t *testing.T) {
+	known := newFleet(begin, beatOf("x", "a"), beatOf("y", "b"))[0]
+	fresh := New(Options{Self: beatOf("n", "a"), Start: begin, Seeds: []fleet.Address{"x:1"}})
+	fresh.Publish(begin)
+	due := fresh.Due(begin.Add(fastEvery), false)
+	require.NotEmpty(t, due)
+	asked := false
+	for _, sending := range due {
+		if len(sending.To) > 0 {
+			require.Equal(t, []fleet.Address{"x:1"}, sending.To)
+			reply, _ := known.Heard(begin, sending.Beat)
+			require.Equal(t, fleet.Address("n:1"), reply)
+			asked = true
+		}
+	}
+	require.True(t, asked)
+	fresh.Heard(begin, known.Introduce(begin))
+	fresh.Publish(begin)
+	var to []fleet.Address
+	for _, sending := range fresh.Due(begin.Add(10*time.Second), true) {
+		to = append(to, sending.To...)
+	}
+	require.ElementsMatch(t, []fleet.Address{"x:1", "y:1"}, to)
+}
+
+// TestLateDatagram guards against a datagram of an earlier process that replaces
+// what its successor said.
+func TestLateDatagram(t *testing.T) {
+	s := New(Options{Self: beatOf("x", "a"), Start: begin.Add(-time.Minute)})
+	old := beatOf("y", "a")
+	restarted := old
+	restarted.Member.Incarnation, restarted.Uptime = 2, time.Second
+	s.Heard(begin, restarted)
+	s.Heard(begin, old)
+	require.Equal(t, fleet.Incarnation(2), s.peers["y"].beat.Member.Incarnation)
+}
+
+// TestReader guards against a failure domain in which nobody reads the store.
+func TestReader(t *testing.T) {
+	beats := []Beat{beatOf("x", "a"), beatOf("y", "a"), beatOf("z", "a")}
+	for lost := range 3 {
+		readers := 0
+		for _, s := range newFleet(begin, beats...) {
+			if s.View().Reader() {
+				require.False(t, s.self.Lost)
+				readers++
+			}
+		}
+		require.Equal(t, 1, readers)
+		if lost < 2 {
+			for i := range beats {
+				if !beats[i].Lost {
+					beats[i].Lost = true
+					break
+				}
+			}
+		}
+	}
+}
