--- /dev/null
+++ b/cmd/explain.go
@@ -0,0 +1,144 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"galenaridge/io/decision"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell the story of one request from log lines",
+		ArgsUsage: "ID [FILE...]",
+		Description: "Reads the log lines of any number of instances from files, or from standard input,\n" +
+			"and prints in order of time what was decided about a request, what was believed of\n" +
+			"the servers it was sent to, and what changed on the instances that handled it.\n\n" +
+			"Example:\n  galenaridge explain 9c41d07be2a35f68 instance-*.log --since 10s",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "since", Usage: "begin `DURATION` before the request", Value: 5 * time.Second},
+			&cli.StringFlag{Name: "server", Usage: "add what was believed of the server with this `ID`"},
+			&cli.BoolFlag{Name: "json", Usage: "print the lines as JSON"},
+		},
+		Action: explain,
+	}
+}
+
+func explain(_ context.Context, c *cli.Command) error {
+	id := c.Args().First()
+	if id == "" {
+		return &usageError{err: fmt.Errorf("explain needs the id of a request")}
+	}
+	lines, err := readLogs(c.Args().Tail(), c.Root().Reader)
+	if err != nil {
+		return &usageError{err: err}
+	}
+	story := decision.Story(lines, decision.Query{ID: id, Server: c.String("server"), Since: c.Duration("since")})
+	if len(story) == 0 {
+		return fmt.Errorf("request %s is not in the %d log lines; ordinary requests are sampled", id, len(lines))
+	}
+	return printStory(c.Root().Writer, story, c.Bool("json"))
+}
+
+// readLogs reads the files, or standard input if there are none.
+func readLogs(paths []string, in io.Reader) ([]decision.Line, error) {
+	if len(paths) == 0 {
+		return decision.Read(in)
+	}
+	var all []decision.Line
+	for _, path := range paths {
+		lines, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func readLog(path string) ([]decision.Line, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	return decision.Read(file)
+}
+
+func printStory(out io.Writer, story []decision.Line, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(out)
+		for _, line := range story {
+			if err := encoder.Encode(line); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	began := story[0].Time
+	for _, line := range story {
+		if _, err := fmt.Fprintf(out, "%8.3f s  %-18s %s\n", line.Time.Sub(began).Seconds(), line.Instance, tell(line)); err != nil {
+			return err
+		}
+		for _, a := range line.Attempts {
+			if _, err := fmt.Fprintf(out, "            %s\n", tellAttempt(a)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// tell returns a line as text.
+func tell(l decision.Line) string {
+	parts := []string{string(l.Event)}
+	add := func(format string, set bool, args ...any) {
+		if set {
+			parts = append(parts, fmt.Sprintf(format, args...))
+		}
+	}
+	add("%s", l.ID != "", l.ID)
+	add("route %s", l.Route != "", l.Route)
+	add("service %s", l.Service != "", l.Service)
+	add("not idempotent", l.Event == decision.Request && !l.Idempotent && l.Route != "")
+	add("server %s", l.Server != "", l.Server)
+	add("peer %s", l.Peer != "", l.Peer)
+	add("state %s", l.State != "", l.State)
+	add("cause %s", l.Cause != "", l.Cause)
+	add("failing with %.2f", l.Failing > 0, l.Failing)
+	add("after %d ms", l.AgeMS > 0, l.AgeMS)
+	add("count %d", l.Count > 0, l.Count)
+	add("configuration %d", l.Version > 0, l.Version)
+	add("list %d", l.Revision > 0, l.Revision)
+	add("confirmed %d ms ago", l.ListAgeMS > 0, l.ListAgeMS)
+	add("outcome %s", l.Outcome != "", l.Outcome)
+	add("code %s", l.Code != "", l.Code)
+	add("status %d", l.Status > 0, l.Status)
+	add("took %d ms", l.TookMS > 0, l.TookMS)
+	add("the caller left", l.Left)
+	add("%s", len(l.List) > 0, strings.Join(l.List, " "))
+	return strings.Join(parts, ", ")
+}
+
+func tellAttempt(a decision.Attempt) string {
+	kind := "attempt"
+	switch {
+	case a.Trial:
+		kind = "trial"
+	case a.Hedge:
+		kind = "second attempt"
+	}
+	text := fmt.Sprintf("%s on %s at %d ms, took %d ms of usually %d ms: %s", kind, a.Server, a.AtMS, a.TookMS, a.ExpectedMS, a.Result)
+	if a.Error != "" {
+		text += ", " + a.Error
+	}
+	return text
+}
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -42,6 +42,7 @@
 			gatewayCommand(),
 			showCommand(),
 			loadCommand(),
+			explainCommand(),
 			questionnaireCommand(),
 			generateCommand(),
 			checkCommand(),
--- /dev/null
+++ b/io/decision/writer_test.go
@@ -0,0 +1,119 @@
+package decision
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+// blocked is a reader of lines that has stopped reading.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// TestStalledReader guards against requests that wait for whoever reads the log.
+func TestStalledReader(t *testing.T) {
+	out := blocked{release: make(chan struct{})}
+	w := NewWriter(out, clockwork.NewRealClock(), "i")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx)
+	}()
+	began := time.Now()
+	const lines = 5000
+	for range lines {
+		w.Write(Line{Event: Request})
+	}
+	require.Less(t, time.Since(began), 2*time.Second)
+	require.GreaterOrEqual(t, w.Dropped(), int64(lines-queued-1), "lines that are not written are counted")
+	require.Zero(t, w.Dropped())
+	cancel()
+	close(out.release)
+	<-done
+}
+
+// TestVolume guards against logs that grow with the load without bound, and
+// against failures that are not written.
+func TestVolume(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	w := NewWriter(&bytes.Buffer{}, clock, "i")
+	admitted := 0
+	for range 10 * perSecond {
+		if w.Admit() {
+			admitted++
+		}
+	}
+	require.Equal(t, perSecond, admitted)
+	require.EqualValues(t, 9*perSecond, w.Dropped())
+	clock.Advance(time.Second)
+	require.True(t, w.Admit())
+	samples := 0
+	for range 10 * sampled {
+		if w.Sample() {
+			samples++
+		}
+	}
+	require.Equal(t, 10, samples)
+}
+
+// TestSchema guards against fields that change their name, which tools read.
+func TestSchema(t *testing.T) {
+	tests := []struct {
+		value any
+		want  []string
+	}{
+		{Line{}, []string{
+			"time", "instance", "event", "id", "route", "service", "idempotent", "version", "revision", "list_age_ms", "outcome", "code",
+			"status", "took_ms", "left_ms", "caller_left", "attempts", "server", "peer", "state", "cause", "failing", "count", "age_ms", "list",
+		}},
+		{Attempt{}, []string{"server", "at_ms", "took_ms", "expected_ms", "result", "status", "trial", "hedge", "error"}},
+	}
+	for _, test := range tests {
+		var names []string
+		for i := range reflect.TypeOf(test.value).NumField() {
+			name, _, _ := strings.Cut(reflect.TypeOf(test.value).Field(i).Tag.Get("json"), ",")
+			names = append(names, name)
+		}
+		require.Equal(t, test.want, names)
+	}
+}
+
+// TestLines guards against lines that are not one JSON object each.
+func TestLines(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out, clockwork.NewFakeClock(), "i-1")
+	w.Write(Line{Event: ServerSuspected, Server: "s\n", Failing: 0.7})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	w.Run(ctx)
+	var line Line
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.Equal(t, "i-1", line.Instance)
+	require.Equal(t, 1, strings.Count(out.String(), "\n"))
+}
+
+// BenchmarkWrite measures the cost of one line to who decides.
+func BenchmarkWrite(b *testing.B) {
+	w := NewWriter(&bytes.Buffer{}, clockwork.NewRealClock(), "i-1")
+	line := Line{Event: Request, ID: "9c41d07be2a35f68", Route: "r", Service: "s", Outcome: "done", Status: 200, Attempts: []Attempt{{Server: "i-7f3a91c2", Result: "succeeded"}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.Write(line)
+		select {
+		case <-w.lines:
+		default:
+		}
+	}
+}
