--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -205,7 +205,7 @@
 	}
 	switch result {
 	case Succeeded:
-		p.succeeded(now, l, took)
+		p.succeeded(l, took)
 	case Stalled:
 		s.stalls++
 		s.belief = s.belief.stalled(l.started)
@@ -238,7 +238,7 @@
 }
 
 // succeeded takes a whole answer.
-func (p *Pool) succeeded(now time.Time, l *Lease, took time.Duration) {
+func (p *Pool) succeeded(l *Lease, took time.Duration) {
 	s := l.server
 	s.cuts = 0
 	s.stalls = 0
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -104,12 +104,10 @@
 }
 
 // try hands a command to the control goroutine and drops it if too many wait.
-func (l *Loop) try(run command) bool {
+func (l *Loop) try(run command) {
 	select {
 	case l.commands <- run:
-		return true
 	default:
-		return false
 	}
 }
 
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -7,6 +7,7 @@
 	"io"
 	randv2 "math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -48,12 +49,14 @@
 
 // Process is one instance on a platform.
 type Process struct {
-	options  Options
-	clock    clock
-	started  time.Time
-	lines    *decision.Writer
-	log      *logrus.Logger
-	metrics  *metrics.Set
+	options Options
+	clock   clock
+	started time.Time
+	lines   *decision.Writer
+	log     *logrus.Logger
+	metrics *metrics.Set
+	// seeds are those of the settings in force. Only upkeep uses them.
+	seeds    []fleet.Address
 	control  *core.Loop
 	engine   *dispatch.Engine
 	follower *follow.Follower
@@ -76,6 +79,7 @@
 // New opens the listeners of an instance and assembles its parts.
 func New(options Options) (*Process, error) {
 	p := &Process{options: options, clock: clock{options.Clock}, started: options.Clock.Now(), metrics: metrics.NewSet()}
+	p.seeds = options.Settings.Seeds
 	p.lines = decision.NewWriter(options.Out, p.clock, options.Settings.ID)
 	p.log = newLog(p.lines, options.Level, options.Settings.ID)
 	if err := p.assemble(); err != nil {
@@ -301,12 +305,16 @@
 func (p *Process) upkeep(ctx context.Context) {
 	sweep := p.clock.Clock.NewTicker(sweepEvery)
 	defer sweep.Stop()
+	reread := p.clock.Clock.NewTicker(reloadEvery)
+	defer reread.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.options.Reload:
 			p.reload()
+		case <-reread.Chan():
+			p.reread()
 		case <-sweep.Chan():
 			p.servers.Sweep(func(i registry.Incarnation) bool { return p.control.View().Listed(i) })
 			if dropped := p.lines.Dropped(); dropped > 0 {
@@ -316,17 +324,28 @@
 	}
 }
 
-// reload reads the settings again. What cannot be read changes nothing.
+// reload reads the settings again after a signal. What cannot be read changes
+// nothing.
 func (p *Process) reload() {
 	settings, err := p.options.Adapter.Settings()
 	if err != nil {
 		p.log.WithError(err).Error("the changed settings are refused; those before stay in force")
 		return
 	}
+	p.seeds = settings.Seeds
 	p.control.Meet(settings.Seeds)
 	p.lines.Write(decision.Line{Event: decision.Reloaded, Count: int64(len(settings.Seeds))})
 }
 
+// reread looks for settings that changed without a signal.
+func (p *Process) reread() {
+	settings, err := p.options.Adapter.Settings()
+	if err == nil && slices.Equal(settings.Seeds, p.seeds) {
+		return
+	}
+	p.reload()
+}
+
 // sites gives traffic the published control state.
 type sites struct{ process *Process }
 
