--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -136,7 +136,8 @@
 	case a.Hedge:
 		kind = "second attempt"
 	}
-	text := fmt.Sprintf("%s on %s at %d ms, took %d ms of usually %d ms: %s", kind, a.Server, a.AtMS, a.TookMS, a.ExpectedMS, a.Result)
+	text := fmt.Sprintf("%s on %s (failing with %.2f, %d busy) at %d ms, took %d ms of usually %d ms: %s",
+		kind, a.Server, a.Failing, a.Busy, a.AtMS, a.TookMS, a.ExpectedMS, a.Result)
 	if a.Error != "" {
 		text += ", " + a.Error
 	}
--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -62,6 +62,8 @@
 		Server:     chosen.info,
 		Trial:      trial,
 		Expected:   expected,
+		Failing:    chosen.failing(now),
+		Busy:       int(chosen.busy(now)),
 		pool:       p,
 		server:     chosen,
 		kind:       ask.Kind,
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -116,6 +116,10 @@
 	Trial bool
 	// Expected is the usual duration.
 	Expected time.Duration
+	// Failing is the probability that the server fails, and Busy the number of its
+	// requests, as they were known when it was chosen.
+	Failing float64
+	Busy    int
 
 	pool       *Pool
 	server     *server
--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -187,6 +187,8 @@
 		Result:   result,
 		Status:   response.Status,
 		Expected: lease.Expected,
+		Failing:  lease.Failing,
+		Busy:     lease.Busy,
 	}
 	if evidence.Err != nil {
 		record.Err = evidence.Err.Error()
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -98,6 +98,9 @@
 	Status   int
 	Err      string
 	Expected time.Duration
+	// Failing and Busy are what was believed of the server when it was chosen.
+	Failing float64
+	Busy    int
 }
 
 // Options set up an Engine.
--- a/io/decision/line.go
+++ b/io/decision/line.go
@@ -80,12 +80,16 @@
 type Attempt struct {
 	Server string `json:"server"`
 	// AtMS is when it began, from the arrival of the request.
-	AtMS       int64  `json:"at_ms"`
-	TookMS     int64  `json:"took_ms"`
-	ExpectedMS int64  `json:"expected_ms"`
-	Result     string `json:"result"`
-	Status     int    `json:"status,omitempty"`
-	Trial      bool   `json:"trial,omitempty"`
-	Hedge      bool   `json:"hedge,omitempty"`
-	Error      string `json:"error,omitempty"`
+	AtMS       int64 `json:"at_ms"`
+	TookMS     int64 `json:"took_ms"`
+	ExpectedMS int64 `json:"expected_ms"`
+	// Failing is the probability that the server fails, and Busy the number of
+	// its requests, as they were known when it was chosen.
+	Failing float64 `json:"failing"`
+	Busy    int     `json:"busy"`
+	Result  string  `json:"result"`
+	Status  int     `json:"status,omitempty"`
+	Trial   bool    `json:"trial,omitempty"`
+	Hedge   bool    `json:"hedge,omitempty"`
+	Error   string  `json:"error,omitempty"`
 }
--- a/io/decision/writer_test.go
+++ b/io/decision/writer_test.go
@@ -78,7 +78,7 @@
 			"time", "instance", "event", "id", "route", "service", "idempotent", "version", "revision", "list_age_ms", "outcome", "code",
 			"status", "took_ms", "left_ms", "caller_left", "attempts", "server", "peer", "state", "cause", "failing", "count", "age_ms", "list",
 		}},
-		{Attempt{}, []string{"server", "at_ms", "took_ms", "expected_ms", "result", "status", "trial", "hedge", "error"}},
+		{Attempt{}, []string{"server", "at_ms", "took_ms", "expected_ms", "failing", "busy", "result", "status", "trial", "hedge", "error"}},
 	}
 	for _, test := range tests {
 		var names []string
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -48,6 +48,8 @@
 			AtMS:       a.At.Milliseconds(),
 			TookMS:     a.Took.Milliseconds(),
 			ExpectedMS: a.Expected.Milliseconds(),
+			Failing:    a.Failing,
+			Busy:       a.Busy,
 			Result:     a.Result.String(),
 			Status:     a.Status,
 			Trial:      a.Trial,
