--- a/core/balance/cover.go
+++ b/core/balance/cover.go
@@ -87,7 +87,7 @@
 			longest = s
 		}
 	}
-	if longest != nil && longest.belief.now(now) >= suspectAbove {
+	if longest != nil && longest.joint(now) >= suspectAbove {
 		p.coveredAt = now
 	}
 	return longest
@@ -98,7 +98,7 @@
 	if len(s.leases) > 0 {
 		return false
 	}
-	if s.belief.now(now) < suspectAbove {
+	if s.joint(now) < suspectAbove {
 		return true
 	}
 	return now.Sub(s.failedAt) >= coverSuspected && now.Sub(p.coveredAt) >= coverPause
--- a/io/setting/setting_test.go
+++ b/io/setting/setting_test.go
@@ -36,7 +36,7 @@
 	require.NoError(t, err)
 	positions, err := strictyaml.Decode(file, data, &Settings{})
 	require.NoError(t, err)
-	page, err := os.ReadFile("../../docs/operating.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	defaults := Defaults()
 	for _, k := range keys {
