--- a/core/balance/cover.go
+++ b/core/balance/cover.go
@@ -10,7 +10,7 @@
 	// coverAbove is the share of requests that fail above which servers are
 	// covered. Idempotent requests do not count as failed, since second attempts
 	// serve most of them, and single errors of sound servers stay below.
-	coverAbove = 0.07
+	coverAbove = 0.055
 	// coverEvery is the longest time without a request for a server that may be
 	// sound, while servers are covered.
 	coverEvery = 1200 * time.Millisecond
