--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -201,9 +201,9 @@
 	}
 	if result == Failed || result == Stalled {
 		s.failedAt = now
-		if !l.idempotent {
-			p.recent.fail(now)
-		}
+	}
+	if !l.idempotent && (result == Failed || result == Stalled || result == Shed) {
+		p.recent.fail(now)
 	}
 	switch result {
 	case Succeeded:
--- a/core/balance/pool_test.go
+++ b/core/balance/pool_test.go
@@ -224,6 +224,7 @@
 	perSec   int
 	errors   float64
 	stalls   float64
+	sheds    float64
 	seed     uint64
 	duration time.Duration
 }
@@ -267,6 +268,8 @@
 				r.result, r.end = Stalled, now.Add(2*time.Second)
 			case x < d.stalls+d.errors:
 				r.result = Failed
+			case x < d.stalls+d.errors+d.sheds:
+				r.result, r.end = Shed, now.Add(time.Millisecond)
 			}
 		}
 		open = append(open, r)
@@ -289,6 +292,8 @@
 		{"most servers stall a little", floorDay{sound: 6, others: 41, perSec: 110, stalls: 0.12, seed: 5}},
 		{"most servers err a little", floorDay{sound: 6, others: 41, perSec: 110, errors: 0.14, seed: 6}},
 		{"a large service with little load", floorDay{sound: 30, others: 60, perSec: 60, errors: 0.2, stalls: 0.1, seed: 7}},
+		{"most servers shed a little", floorDay{sound: 10, others: 40, perSec: 110, sheds: 0.15, seed: 8}},
+		{"most servers of a service with little load shed a little", floorDay{sound: 10, others: 40, perSec: 40, sheds: 0.16, seed: 9}},
 		{"a small service", floorDay{sound: 4, others: 4, perSec: 30, errors: 0.4, stalls: 0.3, seed: 4}},
 	}
 	const window = 2 * time.Second
