--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -222,49 +222,6 @@
 	require.Equal(t, DefaultTenant, s.View().Tenant("anything").Name)
 }
 
-// TestWatchers guards against too many reads of the platform, and against a
-// platform that nobody watches although one member reaches it.
-func TestWatchers(t *testing.T) {
-	tests := []struct {
-		name    string
-		members int
-		failing int
-		want    int
-	}{
-		{"none", 0, 0, 0},
-		{"one", 1, 0, 1},
-		{"all well", 7, 0, 2},
-		{"first failing", 7, 1, 2},
-		{"both failing", 7, 2, 4},
-		{"four failing", 7, 4, 6},
-		{"all failing", 7, 7, 7},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			var live []Watcher
-			for i := range tt.members {
-				live = append(live, Watcher{ID: fleet.InstanceID(fmt.Sprintf("i%d", i))})
-			}
-			order := Watchers("a", failAll(live))
-			for i := range live {
-				live[i].Failing = slices.Index(order, live[i].ID) < tt.failing
-			}
-			got := Watchers("a", live)
-			require.Equal(t, order[:tt.want], got)
-			slices.Reverse(live)
-			require.Equal(t, got, Watchers("a", live), "the order of the list must not matter")
-		})
-	}
-}
-
-func failAll(live []Watcher) []Watcher {
-	failing := slices.Clone(live)
-	for i := range failing {
-		failing[i].Failing = true
-	}
-	return failing
-}
-
 // BenchmarkProtected measures a lookup at the size of two years' time: 3,700
 // routes over 210 services.
 func BenchmarkProtected(b *testing.B) {
--- a/core/control/documents.go
+++ b/core/control/documents.go
@@ -160,14 +160,23 @@
 func (n *node) watchRank() int {
 	view := n.members.View()
 	self := view.Self()
-	resource := fleet.Resource("watch/" + string(self.Domain))
-	own := fleet.Score(self.Member.ID, resource)
-	rank := 0
+	var others []fleet.InstanceID
 	for _, info := range view.Members() {
-		if info.Domain != self.Domain || info.Status.Ended() || info.Suspected || info.Member.ID == self.Member.ID {
-			continue
+		if info.Domain == self.Domain && !info.Status.Ended() && !info.Suspected && info.Member.ID != self.Member.ID {
+			others = append(others, info.Member.ID)
 		}
-		if fleet.Score(info.Member.ID, resource) > own {
+	}
+	return rankAmong(self.Domain, self.Member.ID, others)
+}
+
+// rankAmong returns how many of the others come before an instance in the
+// rendezvous order of those that watch the platform for a failure domain.
+func rankAmong(domain fleet.Domain, self fleet.InstanceID, others []fleet.InstanceID) int {
+	resource := fleet.Resource("watch/" + string(domain))
+	own := fleet.Score(self, resource)
+	rank := 0
+	for _, other := range others {
+		if fleet.Score(other, resource) > own {
 			rank++
 		}
 	}
--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -91,7 +91,7 @@
 	r.route = entry
 	r.request.Service = entry.Draw()
 	r.request.Protected = !entry.Idempotent
-	r.request.Deadline = earlier(r.request.Deadline, r.arrived.Add(entry.Timeout))
+	r.request.Deadline = fleet.Earlier(r.request.Deadline, r.arrived.Add(entry.Timeout))
 	upstream, found := r.engine.options.Sites.Upstream(r.request.Service)
 	if !found {
 		return refuse(exchange.NoCapacity, "the service has no servers", refusalPause)
@@ -271,10 +271,3 @@
 	response.After = after
 	return response
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"galenaridge/core/fleet"
 	"galenaridge/core/workset"
 )
 
@@ -31,7 +32,7 @@
 	last := began.Add(p.options.Settings.Bounds.Grace - stopMargin)
 	leave := began.Add(idleStop)
 	if serving {
-		leave = earlier(began.Add(stalePeriods*keepFor+idleStop), last)
+		leave = fleet.Earlier(began.Add(stalePeriods*keepFor+idleStop), last)
 	}
 	for {
 		now := p.clock.Now()
@@ -48,13 +49,6 @@
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // shutdown ends all servers and connections.
 func (p *Process) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -166,7 +166,7 @@
 		within = connectFar
 	}
 	now := p.options.Clock.Now()
-	limit := earlier(now.Add(within), deadline)
+	limit := fleet.Earlier(now.Add(within), deadline)
 	if !now.Before(limit) {
 		return nil, &Error{Fault: TimedOut}
 	}
@@ -248,10 +248,3 @@
 	defer p.mu.Unlock()
 	return Connections{Opened: p.opened, Reused: p.reused}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -15,6 +15,7 @@
 	"galenaridge/core/questionnaire"
 	"galenaridge/io/document"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/pause"
 	"galenaridge/standin/server"
 )
 
@@ -80,7 +81,7 @@
 		return Summary{}, eris.Wrap(err, "wait for the fleet")
 	}
 	options.Say("fleet is ready")
-	if err := wait(ctx, settle); err != nil {
+	if err := pause.For(ctx, settle); err != nil {
 		return Summary{}, err
 	}
 	return drive(ctx, options, deployment, f)
@@ -182,7 +183,7 @@
 		killed:  harness.SlotName(2),
 		stopped: harness.SlotName(3),
 	}
-	if err := wait(ctx, grayAt); err != nil {
+	if err := pause.For(ctx, grayAt); err != nil {
 		return met, err
 	}
 	options.Say("server " + string(met.gray) + " stalls all work and still answers probes")
@@ -190,28 +191,17 @@
 	if err := f.SetServerFault(ctx, met.gray, server.Fault{Kind: server.FaultStall}); err != nil {
 		return met, err
 	}
-	if err := wait(ctx, killAt-grayAt); err != nil {
+	if err := pause.For(ctx, killAt-grayAt); err != nil {
 		return met, err
 	}
 	options.Say("instance " + string(met.killed) + " is killed")
 	if err := f.Kill(ctx, met.killed); err != nil {
 		return met, err
 	}
-	if err := wait(ctx, stopAt-killAt); err != nil {
+	if err := pause.For(ctx, stopAt-killAt); err != nil {
 		return met, err
 	}
 	options.Say("instance " + string(met.stopped) + " is stopped as planned")
 	met.stopFailed = f.Stop(ctx, met.stopped)
 	return met, ctx.Err()
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/standin/experiment/faults.go
+++ b/standin/experiment/faults.go
@@ -10,6 +10,7 @@
 	"galenaridge/core/fleet"
 	"galenaridge/standin/harness"
 	"galenaridge/standin/jsontime"
+	"galenaridge/standin/pause"
 	"galenaridge/standin/platform"
 	"galenaridge/standin/server"
 )
@@ -42,7 +43,7 @@
 	// A planned stop takes seconds, in which later faults may be due.
 	stops := pool.New()
 	for n, f := range faults {
-		if wait(ctx, time.Until(i.began.Add(f.At))) != nil {
+		if pause.For(ctx, time.Until(i.began.Add(f.At))) != nil {
 			events = events[:n]
 			break
 		}
@@ -138,15 +139,3 @@
 		Seed:   seed,
 	}
 }
-
-// wait waits unless the context ends first.
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/standin/experiment/run.go
+++ b/standin/experiment/run.go
@@ -11,6 +11,7 @@
 	"galenaridge/bench"
 	"galenaridge/client"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/pause"
 )
 
 // Options says where an experiment runs.
@@ -45,7 +46,7 @@
 		return Report{}, eris.Wrap(err, "wait for the fleet")
 	}
 	options.Say("fleet is ready")
-	if err := wait(ctx, cmp.Or(e.Settle, defaultSettle)); err != nil {
+	if err := pause.For(ctx, cmp.Or(e.Settle, defaultSettle)); err != nil {
 		return Report{}, err
 	}
 	return drive(ctx, e, options, f)
--- a/standin/measure/capacity.go
+++ b/standin/measure/capacity.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"galenaridge/standin/harness"
+	"galenaridge/standin/pause"
 	"galenaridge/standin/synthetic"
 )
 
@@ -75,7 +76,7 @@
 	}
 	defer p.Wait()
 	defer stop()
-	if err := wait(ctx, time.Second); err != nil {
+	if err := pause.For(ctx, time.Second); err != nil {
 		return err
 	}
 	before, err := readInstance(ctx, f, slot)
@@ -83,7 +84,7 @@
 		return err
 	}
 	count, bad := answered.Load(), failed.Load()
-	if err := wait(ctx, window); err != nil {
+	if err := pause.For(ctx, window); err != nil {
 		return err
 	}
 	after, err := readInstance(ctx, f, slot)
--- a/standin/measure/config.go
+++ b/standin/measure/config.go
@@ -11,6 +11,7 @@
 	"galenaridge/core/fleet"
 	"galenaridge/standin/harness"
 	"galenaridge/standin/logline"
+	"galenaridge/standin/pause"
 	"galenaridge/standin/synthetic"
 )
 
@@ -65,7 +66,7 @@
 // changeTimes publishes changes with the platform reachable from everywhere,
 // and then from the first failure domain only.
 func changeTimes(ctx context.Context, o Options, f *harness.Fleet, shape synthetic.Shape, changes int) ([]changeRow, error) {
-	if err := wait(ctx, settleTime); err != nil {
+	if err := pause.For(ctx, settleTime); err != nil {
 		return nil, err
 	}
 	rows := []changeRow{{reach: "all"}, {reach: "one failure domain"}}
@@ -83,7 +84,7 @@
 				return nil, err
 			}
 			rows[i].times = append(rows[i].times, took)
-			if err := wait(ctx, changeGap); err != nil {
+			if err := pause.For(ctx, changeGap); err != nil {
 				return nil, err
 			}
 		}
@@ -105,7 +106,7 @@
 			return err
 		}
 	}
-	return wait(ctx, time.Second)
+	return pause.For(ctx, time.Second)
 }
 
 // inForce publishes a version and returns the time until all instances have
--- a/standin/measure/exchange.go
+++ b/standin/measure/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"galenaridge/core/fleet"
+	"galenaridge/standin/pause"
 	"galenaridge/standin/server"
 )
 
@@ -58,7 +59,7 @@
 		if err == nil {
 			return nil
 		}
-		if wait(ctx, 100*time.Millisecond) != nil {
+		if pause.For(ctx, 100*time.Millisecond) != nil {
 			return eris.Wrap(err, "no request succeeds")
 		}
 	}
--- a/standin/measure/idle.go
+++ b/standin/measure/idle.go
@@ -10,6 +10,7 @@
 
 	"galenaridge/core/fleet"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/pause"
 	"galenaridge/standin/synthetic"
 )
 
@@ -178,7 +179,7 @@
 		return measured{}, err
 	}
 	defer f.Close()
-	if err := wait(ctx, settleTime+time.Duration(p.shape.Instances)*settleEach); err != nil {
+	if err := pause.For(ctx, settleTime+time.Duration(p.shape.Instances)*settleEach); err != nil {
 		return measured{}, err
 	}
 	window := idleWindow
@@ -212,7 +213,7 @@
 			}
 			return err
 		}
-		if wait(ctx, d.every) != nil {
+		if pause.For(ctx, d.every) != nil {
 			return nil
 		}
 	}
--- a/standin/measure/latency.go
+++ b/standin/measure/latency.go
@@ -15,6 +15,7 @@
 	"galenaridge/client"
 	"galenaridge/core/fleet"
 	"galenaridge/standin/harness"
+	"galenaridge/standin/pause"
 	"galenaridge/standin/synthetic"
 )
 
@@ -82,7 +83,7 @@
 		return err
 	}
 	defer f.Close()
-	if err := wait(ctx, settleTime); err != nil {
+	if err := pause.For(ctx, settleTime); err != nil {
 		return err
 	}
 	readings, err := readInstances(ctx, f, f.Slots())
--- a/standin/measure/logs.go
+++ b/standin/measure/logs.go
@@ -8,6 +8,7 @@
 
 	"galenaridge/standin/harness"
 	"galenaridge/standin/logline"
+	"galenaridge/standin/pause"
 )
 
 // logPoll is how often logs are read while an event is awaited; the time of
@@ -32,7 +33,7 @@
 		if at, ok := find(lines); ok {
 			return at.Sub(began), nil
 		}
-		if err := wait(ctx, logPoll); err != nil {
+		if err := pause.For(ctx, logPoll); err != nil {
 			return 0, eris.Wrapf(err, "no event in the logs within %s", timeout)
 		}
 	}
--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -166,15 +166,3 @@
 	}
 	return f, nil
 }
-
-// wait waits unless the context ends first.
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/standin/measure/takeover.go
+++ b/standin/measure/takeover.go
@@ -10,6 +10,7 @@
 	"galenaridge/io/operator"
 	"galenaridge/standin/harness"
 	"galenaridge/standin/logline"
+	"galenaridge/standin/pause"
 	"galenaridge/standin/synthetic"
 )
 
@@ -43,7 +44,7 @@
 		return err
 	}
 	defer f.Close()
-	if err := wait(ctx, settleTime); err != nil {
+	if err := pause.For(ctx, settleTime); err != nil {
 		return err
 	}
 	for kill := range kills {
--- a/standin/measure/usage.go
+++ b/standin/measure/usage.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"galenaridge/standin/harness"
+	"galenaridge/standin/pause"
 )
 
 // Metrics of an instance that are read.
@@ -136,7 +137,7 @@
 	if err != nil {
 		return usage{}, usage{}, err
 	}
-	if err := wait(ctx, window); err != nil {
+	if err := pause.For(ctx, window); err != nil {
 		return usage{}, usage{}, err
 	}
 	after, err := readInstances(ctx, f, slots)
