Read the store at the start of an instance and hold first requests for it

Change: the first listing is read at once, directories name the instance itself until it has heard others, and a request waits 100 ms for the first configuration.

--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -79,7 +79,7 @@
 
 // serve finds the service and runs the attempts.
 func (r *run) serve(ctx context.Context) exchange.Response {
-	table := r.engine.options.Sites.Routes()
+	table := r.routes(ctx)
 	if !table.Ready() {
 		return refuse(exchange.NotReady, "no configuration is in force yet", notReadyPause)
 	}
@@ -104,6 +104,22 @@
 	return r.single(ctx)
 }
 
+// routes returns the configuration, and waits a little for the first one.
+func (r *run) routes(ctx context.Context) *route.Table {
+	sites := r.engine.options.Sites
+	if table := sites.Routes(); table.Ready() {
+		return table
+	}
+	timer, stop := r.engine.options.Clock.NewTimer(loadWait)
+	defer stop()
+	select {
+	case <-sites.Loaded():
+	case <-timer:
+	case <-ctx.Done():
+	}
+	return sites.Routes()
+}
+
 // single runs a request that must not run twice: one attempt at a time, and
 // another only after one that did not run.
 func (r *run) single(ctx context.Context) exchange.Response {
--- a/core/dispatch/engine_test.go
+++ b/core/dispatch/engine_test.go
@@ -82,9 +82,11 @@
 type sites struct {
 	table    *route.Table
 	upstream *Upstream
+	loaded   chan struct{}
 }
 
 func (s sites) Routes() *route.Table                              { return s.table }
+func (s sites) Loaded() <-chan struct{}                           { return s.loaded }
 func (s sites) Upstream(fleet.ServiceName) (*Upstream, bool)      { return s.upstream, s.upstream != nil }
 func (sites) Usable(fleet.ServiceName, registry.Incarnation) bool { return true }
 
@@ -241,3 +243,29 @@
 	require.Equal(t, 503, response.Status)
 	require.Positive(t, response.After)
 }
+
+// starting is a control state whose configuration arrives with the loaded signal.
+type starting struct {
+	sites
+	later *route.Table
+}
+
+func (s starting) Routes() *route.Table {
+	select {
+	case <-s.loaded:
+		return s.later
+	default:
+		return s.table
+	}
+}
+
+// TestStarting guards against refusals by an instance that has a configuration a
+// moment later.
+func TestStarting(t *testing.T) {
+	e, _, _ := newEngine(t, 3, ample, status(200))
+	known := e.options.Sites.(sites)
+	loaded := make(chan struct{})
+	e.options.Sites = starting{sites: sites{table: route.NewState().Table(), upstream: known.upstream, loaded: loaded}, later: known.table}
+	time.AfterFunc(20*time.Millisecond, func() { close(loaded) })
+	require.Equal(t, 200, e.Serve(context.Background(), requestFor("/write/")).Status)
+}
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -23,6 +23,8 @@
 type Sites interface {
 	// Routes returns the configuration in force. It is never nil.
 	Routes() *route.Table
+	// Loaded returns a channel that is closed when there has been a configuration.
+	Loaded() <-chan struct{}
 	// Upstream returns a service, and false if it has no servers.
 	Upstream(name fleet.ServiceName) (*Upstream, bool)
 	// Usable reports whether an incarnation of a server is still listed and
@@ -132,6 +134,9 @@
 	maxSends = 5
 	// refusalPause is when a refused caller may come back.
 	refusalPause = 150 * time.Millisecond
+	// loadWait is how long a request waits for the first configuration of an
+	// instance that has just started.
+	loadWait = 100 * time.Millisecond
 	// notReadyPause is when a caller may come back to an instance that has no
 	// configuration yet.
 	notReadyPause = 300 * time.Millisecond
--- a/core/gateway/copy.go
+++ b/core/gateway/copy.go
@@ -34,7 +34,7 @@
 // listing returns what the copy has beyond a revision: the changes since, or all
 // if they are not kept.
 func (s *state) listing(now time.Time, known fleet.Revision) follow.Listing {
-	listing := follow.Listing{Revision: s.revision, Age: now.Sub(s.confirmedAt)}
+	listing := follow.Listing{Revision: s.revision, Age: s.age(now)}
 	if len(s.batches) > 0 && s.batches[0].from <= known {
 		listing.Partial = true
 		for _, b := range s.batches {
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -84,7 +84,7 @@
 		case run := <-l.commands:
 			run(&l.state)
 		default:
-			l.view.Store(l.state.publish())
+			l.publish()
 			return
 		}
 	}
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,8 @@
 	commands chan command
 	view     atomic.Pointer[View]
 	state    state
+	loaded   chan struct{}
+	loadOnce sync.Once
 }
 
 // command changes the control state. It runs on the control goroutine.
@@ -56,7 +59,7 @@
 
 // New returns a loop that does not run yet.
 func New(options Options) *Loop {
-	l := &Loop{options: options, commands: make(chan command, queueSize)}
+	l := &Loop{options: options, commands: make(chan command, queueSize), loaded: make(chan struct{})}
 	l.state = state{
 		options:  options,
 		routes:   route.NewState(),
@@ -70,7 +73,7 @@
 		usable: make(map[registry.Incarnation]fleet.ServiceName),
 		ticked: options.Clock.Now(),
 	}
-	l.view.Store(l.state.publish())
+	l.publish()
 	return l
 }
 
@@ -81,6 +84,8 @@
 func (l *Loop) Run(ctx context.Context) {
 	ticks, stop := l.options.Clock.NewTicker(tickEvery)
 	defer stop()
+	// The first listing is read at once, since callers may be waiting already.
+	l.state.place(l.options.Clock.Now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -91,10 +96,22 @@
 			l.state.tick()
 		}
 		l.state.beat()
-		l.view.Store(l.state.publish())
+		l.publish()
+	}
+}
+
+// publish makes the state visible.
+func (l *Loop) publish() {
+	l.view.Store(l.state.publish())
+	if l.state.loaded() {
+		l.loadOnce.Do(func() { close(l.loaded) })
 	}
 }
 
+// Loaded returns a channel that is closed when the instance has had a
+// configuration and servers.
+func (l *Loop) Loaded() <-chan struct{} { return l.loaded }
+
 // do hands a command to the control goroutine, unless the context ends.
 func (l *Loop) do(ctx context.Context, run command) {
 	select {
@@ -133,7 +150,7 @@
 	}
 	s.applyServers()
 	s.ticks++
-	if s.working.View().Place() == workset.Idle && !s.stopping && s.ticks%idleTicks != 0 {
+	if s.working.View().Place() == workset.Idle && s.loaded() && !s.stopping && s.ticks%idleTicks != 0 {
 		return
 	}
 	s.measure(now)
@@ -156,16 +173,15 @@
 
 // place recomputes the order of the instances and acts on the own place.
 func (s *state) place(now time.Time) {
-	loaded := s.routes.Table().Ready() && s.revision > 0
 	if s.working.SetCondition(workset.Condition{
 		Leaving:  s.stopping,
-		Ready:    loaded && !s.stopping,
+		Ready:    s.loaded() && !s.stopping,
 		Slow:     s.slow,
 		Lost:     s.watching && s.storeLost,
 		Rate:     s.rate,
 		Version:  s.routes.Version(),
 		Revision: s.revision,
-		Age:      now.Sub(s.confirmedAt),
+		Age:      s.age(now),
 	}) {
 		s.urgent = true
 	}
@@ -182,20 +198,31 @@
 	s.watch(s.mustWatch(now))
 }
 
+// loaded reports whether this instance has a configuration and servers.
+func (s *state) loaded() bool { return s.routes.Table().Ready() && s.revision > 0 }
+
+// age returns how long ago the copy was known to be current.
+func (s *state) age(now time.Time) time.Duration {
+	if s.confirmedAt.IsZero() {
+		return unknownAge
+	}
+	return now.Sub(s.confirmedAt)
+}
+
 // mustWatch reports whether this instance reads the store. Active ones do, and
 // their beats keep all others current. When the store turns them away, the next
 // one in rank reads it, and more do when the copy ages all the same.
 func (s *state) mustWatch(now time.Time) bool {
 	view := s.working.View()
-	if view.Place() == workset.Active {
+	if view.Place() == workset.Active || s.revision == 0 {
 		return true
 	}
-	age := now.Sub(s.confirmedAt)
+	age := s.age(now)
 	rank := view.Rank()
 	if view.Reader() {
 		s.helpUntil = now.Add(helpFor)
 	}
-	if !s.confirmedAt.IsZero() && (age > ownAfter && rank <= firstHelpers || age > ownAfter+helpPause && rank <= lastHelpers) {
+	if age > ownAfter && rank <= firstHelpers || age > ownAfter+helpPause && rank <= lastHelpers {
 		s.helpUntil = now.Add(helpFor)
 	}
 	return now.Before(s.helpUntil)
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -93,6 +93,8 @@
 	helpFor = 10 * time.Second
 	// queueSize bounds the commands that wait.
 	queueSize = 256
+	// unknownAge stands for the age of a copy that was never read.
+	unknownAge = time.Hour
 	// lapseGrace is how long a server that is missing after an outage of the
 	// store is kept. A live one renews its entry in about two seconds.
 	lapseGrace = 2200 * time.Millisecond
--- a/core/workset/order.go
+++ b/core/workset/order.go
@@ -48,6 +48,8 @@
 	}
 	uptime := now.Sub(s.options.Start)
 	if uptime < settleTime {
+		// Callers that ask meanwhile are sent here, which is better than nowhere.
+		v.domains[s.self.Domain] = []Beat{s.self}
 		return v
 	}
 	add(s.self, uptime)
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -159,6 +159,7 @@
 	s := New(Options{Self: beatOf("x", "a"), Start: begin, Seeds: []fleet.Address{"gone:1"}})
 	s.Publish(begin)
 	require.Equal(t, Idle, s.View().Place())
+	require.Len(t, s.View().Active("a"), 1, "callers that ask before are sent here")
 	s.Publish(begin.Add(settleTime))
 	require.Equal(t, Active, s.View().Place())
 	require.True(t, s.View().Reader())
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -25,6 +25,10 @@
 		return
 	}
 	view := j.process.control.View()
+	age := time.Duration(0)
+	if at := view.ConfirmedAt(); !at.IsZero() {
+		age = j.process.clock.Now().Sub(at)
+	}
 	line := decision.Line{
 		Event:      decision.Request,
 		ID:         string(r.ID),
@@ -33,7 +37,7 @@
 		Idempotent: r.Idempotent,
 		Version:    uint64(r.Version),
 		Revision:   uint64(view.Revision()),
-		ListAgeMS:  j.process.clock.Now().Sub(view.ConfirmedAt()).Milliseconds(),
+		ListAgeMS:  age.Milliseconds(),
 		Outcome:    r.Response.Outcome.String(),
 		Code:       string(r.Response.Code),
 		Status:     r.Response.Status,
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -352,6 +352,9 @@
 // Routes implements dispatch.Sites.
 func (s sites) Routes() *route.Table { return s.process.control.View().Routes() }
 
+// Loaded implements dispatch.Sites.
+func (s sites) Loaded() <-chan struct{} { return s.process.control.Loaded() }
+
 // Upstream implements dispatch.Sites.
 func (s sites) Upstream(name fleet.ServiceName) (*dispatch.Upstream, bool) {
 	return s.process.control.View().Upstream(name)
