Meet faster after a loss of all, and send fewer beats to other failure domains

Change: idle instances beat to other failure domains every 15 s; a new instance asks and greets those it has not heard for 3 s.

--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -132,27 +132,37 @@
 func (s *State) Due(now time.Time, urgent bool) []Sending {
 	near, far := slowEvery, slowFarEvery
 	lonely := s.view.live == 0
+	greeting := lonely || now.Sub(s.options.Start) < greetTime
 	if s.view.place != Idle || s.self.Leaving || lonely {
 		near, far = fastEvery, fastFarEvery
 	}
 	nearDue := urgent || now.Sub(s.nearAt) >= near
-	farDue := urgent || lonely && nearDue || now.Sub(s.farAt) >= far
+	farDue := urgent || now.Sub(s.farAt) >= far
 	if !nearDue && !farDue {
 		return nil
 	}
 	beat := s.self
 	beat.Uptime = now.Sub(s.options.Start)
-	beat.Asks = lonely
+	beat.Asks = greeting
 	var due []Sending
 	if nearDue {
 		s.nearAt = now
 		beat.Every = near
-		due = append(due, Sending{Beat: beat, To: s.near()})
+		to := s.near()
+		if greeting {
+			to = append(to, s.unheard()...)
+		}
+		due = append(due, Sending{Beat: beat, To: to})
 	}
 	if farDue {
 		s.farAt = now
 		beat.Every = far
-		due = append(due, Sending{Beat: beat, To: s.far()})
+		beat.Asks = false
+		to := s.far()
+		if !greeting {
+			to = append(to, s.unheard()...)
+		}
+		due = append(due, Sending{Beat: beat, To: to})
 	}
 	return due
 }
@@ -168,17 +178,24 @@
 	return addresses
 }
 
-// far returns the addresses of the others in other failure domains, and those of
-// seeds that were not heard.
+// far returns the addresses of the others in other failure domains.
 func (s *State) far() []fleet.Address {
-	known := make(map[fleet.Address]bool, len(s.peers))
 	var addresses []fleet.Address
 	for _, p := range s.peers {
-		known[p.beat.Peer] = true
 		if p.beat.Domain != s.self.Domain {
 			addresses = append(addresses, p.beat.Peer)
 		}
 	}
+	return addresses
+}
+
+// unheard returns the addresses of seeds and contacts that were not heard.
+func (s *State) unheard() []fleet.Address {
+	known := make(map[fleet.Address]bool, len(s.peers))
+	for _, p := range s.peers {
+		known[p.beat.Peer] = true
+	}
+	var addresses []fleet.Address
 	for _, seed := range s.options.Seeds {
 		if seed != s.self.Peer && !known[seed] {
 			addresses = append(addresses, seed)
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -53,7 +53,7 @@
 	slowEvery = time.Second
 	// fastFarEvery and slowFarEvery are those to other failure domains.
 	fastFarEvery = 400 * time.Millisecond
-	slowFarEvery = 4 * time.Second
+	slowFarEvery = 15 * time.Second
 	// silentBeats is the number of missing beats after which an instance counts
 	// as gone; single datagrams are lost now and then.
 	silentBeats = 4
@@ -67,6 +67,9 @@
 	// youngTime is how long a restarted instance ranks behind the others, since
 	// it may be in a loop of crashes.
 	youngTime = 4 * time.Second
+	// greetTime is how long a new instance asks for contacts and greets those from
+	// which it has not heard: after a restart of all, the first answers name few.
+	greetTime = 3 * time.Second
 	// ratePerCore is the number of requests a second that a core carries with
 	// room for bursts; a request costs about a millisecond at the most.
 	ratePerCore = 500
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -192,6 +192,34 @@
 	require.ElementsMatch(t, []fleet.Address{"x:1", "y:1"}, to)
 }
 
+// TestMeetingAfterLossOfAll guards against instances that stay unknown to each
+// other when all were restarted together and know only one seed.
+func TestMeetingAfterLossOfAll(t *testing.T) {
+	const count = 90
+	states := make(map[fleet.Address]*State, count)
+	for i := range count {
+		self := beatOf(fmt.Sprintf("n%02d", i), fleet.Domain(rune('a'+i%3)))
+		states[self.Peer] = New(Options{Self: self, Start: begin, Seeds: []fleet.Address{"n00:1"}})
+	}
+	for tick := range 15 {
+		now := begin.Add(time.Duration(tick+1) * fastEvery)
+		for _, s := range states {
+			s.Publish(now)
+			for _, sending := range s.Due(now, false) {
+				for _, to := range sending.To {
+					receiver := states[to]
+					if reply, _ := receiver.Heard(now, sending.Beat); reply != "" {
+						s.Heard(now, receiver.Introduce(now))
+					}
+				}
+			}
+		}
+	}
+	for address, s := range states {
+		require.GreaterOrEqual(t, len(s.peers), count*9/10, "known to %s", address)
+	}
+}
+
 // TestLateDatagram guards against a datagram of an earlier process that replaces
 // what its successor said.
 func TestLateDatagram(t *testing.T) {
--- a/io/peer/beat/codec.go
+++ b/io/peer/beat/codec.go
@@ -15,7 +15,7 @@
 
 // maxEvery bounds the interval that a beat may state, so that a broken one does
 // not keep its sender alive for ever.
-const maxEvery = 10 * time.Second
+const maxEvery = 30 * time.Second
 
 // maxAge bounds the age that a beat may state.
 const maxAge = time.Hour
