--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -51,6 +51,8 @@
 	URI      string
 	Body     string
 	Deadline string
+	// At is when the request was read.
+	At time.Time
 }
 
 // Server is the stand-in. Its methods may be called concurrently.
@@ -171,6 +173,7 @@
 			URI:      request.URL.RequestURI(),
 			Body:     body,
 			Deadline: request.Header.Get("Galenaridge-Deadline-Ms"),
+			At:       time.Now(),
 		})
 	}
 	s.mu.Unlock()
