Bound what an instance carries by its link

Cause: the order of instances counted cores only, and on the grown fleets a machine with 0.8 cores may have a link of 10 Mbit/s, which carries about 150 requests a second. Change: the smaller of both counts. Settings that nothing reads are gone.

--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -24,7 +24,8 @@
 	Every time.Duration
 	// Uptime is the age of the process.
 	Uptime time.Duration
-	// Cores is the processor time of the machine in cores.
+	// Cores is what the machine can carry, in cores: less than its processor time
+	// if its link binds.
 	Cores float64
 	// Rate is the number of requests a second.
 	Rate float64
@@ -80,10 +81,23 @@
 	// maxReaders is the number of ranks among which the reader of the store is
 	// looked for. While the store is down, no more instances call it.
 	maxReaders = 5
+	// requestMegabits is what a request moves over the link of its instance: about
+	// 8 KB, to and from both sides.
+	requestMegabits = 0.064
 	// maxContacts bounds the contacts of one beat, which is one datagram.
 	maxContacts = 48
 )
 
+// Effective returns what a machine can carry, in cores: its own, or fewer if its
+// link in megabits a second binds. A machine that states no link is bound by its
+// cores.
+func Effective(cores, linkMbps float64) float64 {
+	if linkMbps <= 0 {
+		return cores
+	}
+	return min(cores, linkMbps/requestMegabits/ratePerCore)
+}
+
 // live reports whether the peer was heard lately.
 func (p *peer) live(now time.Time) bool {
 	return now.Sub(p.heardAt) <= silentBeats*p.beat.Every+silentSlack
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -154,6 +154,21 @@
 	}
 }
 
+// TestEffective guards against load beyond what a small link carries.
+func TestEffective(t *testing.T) {
+	tests := []struct {
+		cores, link, want float64
+	}{
+		{0.8, 10, 0.3125},
+		{0.8, 200, 0.8},
+		{0.16, 10, 0.16},
+		{0.8, 0, 0.8},
+	}
+	for _, test := range tests {
+		require.InDelta(t, test.want, Effective(test.cores, test.link), 1e-9)
+	}
+}
+
 // TestAlone guards against an instance that waits for others which are all gone.
 func TestAlone(t *testing.T) {
 	s := New(Options{Self: beatOf("x", "a"), Start: begin, Seeds: []fleet.Address{"gone:1"}})
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -145,7 +145,7 @@
 			Domain: s.Domain,
 			Peer:   s.Listen.Peer,
 			Caller: s.Listen.Caller,
-			Cores:  s.Capacity.Cores,
+			Cores:  workset.Effective(s.Capacity.Cores, s.Capacity.LinkMbps),
 		},
 		Seeds:   s.Seeds,
 		Clock:   p.clock,
--- a/io/setting/gateway.go
+++ b/io/setting/gateway.go
@@ -38,46 +38,34 @@
 
 // Bounds holds what operators promise their callers.
 type Bounds struct {
-	// Drain is how soon a leaving server gets no new request.
-	Drain time.Duration
 	// Grace is the time between the end signal and the kill.
 	Grace time.Duration
 	// Assignment is the longest time that callers keep addresses.
 	Assignment time.Duration
-	// Apply is how soon a configuration is in force.
-	Apply time.Duration
-	// Settle is how long a machine must run undisturbed to be counted on.
-	Settle time.Duration
 	// RetryRatio, RetrySpan and RetryAllowance bound the repeats of all
 	// instances together: in any span at most the ratio of the requests and the
 	// allowance.
 	RetryRatio     float64
 	RetrySpan      time.Duration
 	RetryAllowance float64
-	// FloorShare is the share of the sound servers that must get requests.
-	FloorShare float64
 }
 
 // Capacity is what the machine offers.
 type Capacity struct {
 	// Cores is processor time in cores of normal speed.
-	Cores    float64
-	MemoryMB int
+	Cores float64
+	// LinkMbps is the bandwidth of its link in megabits a second.
 	LinkMbps float64
 }
 
 // DefaultBounds returns the bounds for a platform that does not state them.
 func DefaultBounds() Bounds {
 	return Bounds{
-		Drain:          2 * time.Second,
 		Grace:          6 * time.Second,
 		Assignment:     5 * time.Second,
-		Apply:          2 * time.Second,
-		Settle:         3 * time.Second,
 		RetryRatio:     0.1,
 		RetrySpan:      10 * time.Second,
 		RetryAllowance: 10,
-		FloorShare:     0.7,
 	}
 }
 
