--- a/core/balance/belief.go
+++ b/core/balance/belief.go
@@ -12,7 +12,7 @@
 // its age.
 const (
 	// usualFailing is the share of the servers that fail at any time, as seen by
-	// a first request after a long pause.
+	// a first request, or by one after a long pause.
 	usualFailing = 0.25
 	// relaxRate is how fast a belief moves towards what is usual, in 1/s. With
 	// the share above it stands for failures that begin once in about 27 s and
@@ -26,8 +26,6 @@
 	errorRatio = 40
 	// stalledBelief is the belief after a request brought no answer.
 	stalledBelief = 0.96
-	// firstBelief is that of a server that was never used.
-	firstBelief = 0.1
 	// suspectAbove and clearBelow bound the beliefs that count as a suspicion.
 	suspectAbove = 0.5
 	clearBelow   = 0.15
--- a/core/balance/pool_test.go
+++ b/core/balance/pool_test.go
@@ -193,7 +193,7 @@
 
 // TestBelief guards against beliefs that do not follow the evidence.
 func TestBelief(t *testing.T) {
-	fresh := belief{failing: firstBelief, at: start}
+	fresh := belief{failing: 0.1, at: start}
 	tests := []struct {
 		name string
 		got  float64
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -49,7 +49,7 @@
 		info:     info,
 		key:      KeyOf(info.Incarnation),
 		slowness: 1,
-		belief:   belief{failing: firstBelief},
+		belief:   belief{failing: usualFailing},
 		remotes:  make(map[fleet.InstanceID]remote),
 	}
 }
