--- /dev/null
+++ b/core/gateway/place.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"time"
+
+	"galenaridge/core/balance"
+	"galenaridge/core/fleet"
+	"galenaridge/core/retry"
+	"galenaridge/core/workset"
+)
+
+// measure updates the rate of requests.
+func (s *state) measure(now time.Time) {
+	elapsed := now.Sub(s.ticked).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	s.ticked = now
+	started := s.options.Traffic.Started()
+	rate := float64(started-s.started) / elapsed
+	s.started = started
+	s.rate += rateWeight * (rate - s.rate)
+}
+
+// place recomputes the order of the instances and acts on the own place.
+func (s *state) place(now time.Time) {
+	if s.working.SetCondition(workset.Condition{
+		Leaving:  s.stopping,
+		Ready:    s.loaded() && !s.stopping,
+		Slow:     s.slow,
+		Lost:     s.watching && s.storeLost,
+		Rate:     s.rate,
+		Version:  s.routes.Version(),
+		Revision: s.revision,
+		Age:      s.age(now),
+	}) {
+		s.urgent = true
+	}
+	change := s.working.Publish(now)
+	view := s.working.View()
+	if change.Place {
+		s.urgent = true
+		s.options.Events.Placed(view.Place(), view.Live())
+	}
+	if change.Active {
+		s.options.Events.Working(s.activeAddresses())
+		s.shareQuota()
+	}
+	s.watch(s.mustWatch(now))
+}
+
+// loaded reports whether this instance has a configuration and servers.
+func (s *state) loaded() bool { return s.routes.Table().Ready() && s.revision > 0 }
+
+// age returns how long ago the copy was known to be current.
+func (s *state) age(now time.Time) time.Duration {
+	if s.confirmedAt.IsZero() {
+		return unknownAge
+	}
+	return now.Sub(s.confirmedAt)
+}
+
+// mustWatch reports whether this instance reads the store. Active ones do, and
+// their beats keep all others current. When the store turns them away, the next
+// one in rank reads it, and more do when the copy ages all the same.
+func (s *state) mustWatch(now time.Time) bool {
+	view := s.working.View()
+	if view.Place() == workset.Active || s.revision == 0 {
+		return true
+	}
+	age := s.age(now)
+	rank := view.Rank()
+	if view.Reader() {
+		s.helpUntil = now.Add(helpFor)
+	}
+	if age > ownAfter && rank <= firstHelpers || age > ownAfter+helpPause && rank <= lastHelpers {
+		s.helpUntil = now.Add(helpFor)
+	}
+	return now.Before(s.helpUntil)
+}
+
+// watch starts or ends the reading of the store.
+func (s *state) watch(on bool) {
+	on = on || (s.stopping && s.watching)
+	if on == s.watching {
+		return
+	}
+	s.watching = on
+	s.storeLost = false
+	s.options.Watch.Enable(on)
+}
+
+// maxShares bounds one report, which is one datagram.
+const maxShares = 90
+
+// tell reports to the other active instances what this one knows of servers.
+func (s *state) tell(now time.Time) {
+	var to []fleet.Address
+	for _, beat := range s.working.View().AllActive() {
+		if beat.Member.ID != s.options.Self.Member.ID {
+			to = append(to, beat.Peer)
+		}
+	}
+	if len(to) == 0 {
+		return
+	}
+	var shares []balance.Share
+	for _, u := range s.pools {
+		shares = append(shares, u.Servers.Tell(now)...)
+	}
+	for len(shares) > 0 {
+		n := min(len(shares), maxShares)
+		s.options.Peers.Tell(Report{From: s.options.Self.Member, Shares: shares[:n]}, to)
+		shares = shares[n:]
+	}
+}
+
+func (s *state) activeAddresses() []fleet.Address {
+	var addresses []fleet.Address
+	for _, beat := range s.working.View().AllActive() {
+		addresses = append(addresses, beat.Caller)
+	}
+	return addresses
+}
+
+// beat sends a beat if one is due.
+func (s *state) beat() {
+	for _, sending := range s.working.Due(s.options.Clock.Now(), s.urgent) {
+		if len(sending.To) > 0 {
+			s.options.Peers.Send(sending.Beat, sending.To)
+		}
+	}
+	s.urgent = false
+}
+
+// quota returns the part of the fleet's quota that this instance may use.
+func (s *state) quota() retry.Quota {
+	parts := float64(s.working.View().ActiveCount() + quotaParts)
+	return retry.Quota{
+		Ratio:     quotaShare * s.options.Quota.Ratio,
+		Allowance: s.options.Quota.Allowance / parts,
+		Span:      s.options.Quota.Span,
+	}
+}
+
+func (s *state) shareQuota() {
+	quota := s.quota()
+	for _, u := range s.pools {
+		u.Repeats.SetQuota(quota)
+	}
+}
--- /dev/null
+++ b/io/gateway/ports.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	randv2 "math/rand/v2"
+	"time"
+
+	"galenaridge/core/dispatch"
+	"galenaridge/core/fleet"
+	"galenaridge/core/follow"
+	"galenaridge/core/registry"
+	"galenaridge/core/route"
+	"galenaridge/io/caller/pipeline"
+)
+
+// sites gives traffic the published control state.
+type sites struct{ process *Process }
+
+// Routes implements dispatch.Sites.
+func (s sites) Routes() *route.Table { return s.process.control.View().Routes() }
+
+// Loaded implements dispatch.Sites.
+func (s sites) Loaded() <-chan struct{} { return s.process.control.Loaded() }
+
+// Upstream implements dispatch.Sites.
+func (s sites) Upstream(name fleet.ServiceName) (*dispatch.Upstream, bool) {
+	return s.process.control.View().Upstream(name)
+}
+
+// Usable implements dispatch.Sites.
+func (s sites) Usable(service fleet.ServiceName, server registry.Incarnation) bool {
+	return s.process.control.View().Usable(service, server)
+}
+
+// policy gives the limits of callers.
+type policy struct{ process *Process }
+
+// Limits implements pipeline.Policy.
+func (p policy) Limits() pipeline.Limits {
+	limits := p.process.control.View().Routes().Limits()
+	return pipeline.Limits{Header: limits.Header, Body: limits.Body, HeaderWait: limits.HeaderWait, Idle: limits.Idle}
+}
+
+// Stopping implements pipeline.Policy.
+func (p policy) Stopping() bool { return p.process.control.View().Stopping() }
+
+// assigner answers callers that ask where to connect.
+type assigner struct{ process *Process }
+
+// keepFor is how long callers keep addresses. It is short, so that they leave an
+// instance soon that is gone; most ask before each connection anyway.
+const keepFor = time.Second
+
+// Assign implements Directory.
+func (a assigner) Assign(domain fleet.Domain) ([]fleet.Address, time.Duration) {
+	var addresses []fleet.Address
+	for _, b := range a.process.control.View().Working().Active(domain) {
+		addresses = append(addresses, b.Caller)
+	}
+	return addresses, min(keepFor, a.process.options.Settings.Bounds.Assignment)
+}
+
+// Ready implements Directory.
+func (a assigner) Ready() bool { return a.process.control.View().Ready() }
+
+// sink hands what the follower reads to the control goroutine. It exists because
+// the follower and the loop need each other.
+type sink struct{ process *Process }
+
+// Listed implements follow.Sink.
+func (s sink) Listed(listing follow.Listing, outage bool) { s.process.control.Listed(listing, outage) }
+
+// Changed implements follow.Sink.
+func (s sink) Changed(changes []follow.Change, revision fleet.Revision) {
+	s.process.control.Changed(changes, revision)
+}
+
+// Lost implements follow.Sink.
+func (s sink) Lost(err error) { s.process.control.Lost(err) }
+
+// Regained implements follow.Sink.
+func (s sink) Regained(after time.Duration) { s.process.control.Regained(after) }
+
+// Missed implements follow.Sink.
+func (s sink) Missed(peer fleet.Address, err error) { s.process.control.Missed(peer, err) }
+
+// globalRandom is the process-wide random source, which may be used
+// concurrently.
+type globalRandom struct{}
+
+// Float64 implements balance.Random.
+func (globalRandom) Float64() float64 { return randv2.Float64() }
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -5,18 +5,15 @@
 	"crypto/rand"
 	"encoding/binary"
 	"io"
-	randv2 "math/rand/v2"
 	"net"
 	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/gofiber/fiber/v3"
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 
 	"galenaridge/core/dispatch"
 	"galenaridge/core/fleet"
@@ -24,7 +21,6 @@
 	core "galenaridge/core/gateway"
 	"galenaridge/core/registry"
 	"galenaridge/core/retry"
-	"galenaridge/core/route"
 	"galenaridge/core/workset"
 	"galenaridge/io/caller/pipeline"
 	"galenaridge/io/decision"
@@ -51,7 +47,6 @@
 type Process struct {
 	options Options
 	clock   clock
-	started time.Time
 	lines   *decision.Writer
 	log     *logrus.Logger
 	metrics *metrics.Set
@@ -69,16 +64,9 @@
 	webs           []web
 }
 
-// web is an HTTP server for calls that are not requests of callers.
-type web struct {
-	name     string
-	listener net.Listener
-	server   *fasthttp.Server
-}
-
 // New opens the listeners of an instance and assembles its parts.
 func New(options Options) (*Process, error) {
-	p := &Process{options: options, clock: clock{options.Clock}, started: options.Clock.Now(), metrics: metrics.NewSet()}
+	p := &Process{options: options, clock: clock{options.Clock}, metrics: metrics.NewSet()}
 	p.seeds = options.Settings.Seeds
 	p.lines = decision.NewWriter(options.Out, p.clock, options.Settings.ID)
 	p.log = newLog(p.lines, options.Level, options.Settings.ID)
@@ -172,64 +160,6 @@
 	return p.openWebs()
 }
 
-// openWebs opens the servers of the directory, of readiness, of peers and of
-// operators.
-func (p *Process) openWebs() error {
-	directory := fiber.New()
-	p.options.Adapter.Register(directory, assigner{p})
-	peers := fiber.New()
-	snapshot.Register(peers, p.control, p.log)
-	operators := fiber.New()
-	operators.Get("/metrics", p.writeMetrics)
-	s := p.options.Settings
-	webs := []struct {
-		name    string
-		address fleet.Address
-		app     *fiber.App
-	}{
-		{"directory", s.Listen.Directory, directory},
-		{"readiness", s.Listen.Ready, directory},
-		{"peers", s.Listen.Peer, peers},
-		{"operators", s.Listen.Operator, operators},
-	}
-	for _, w := range webs {
-		if w.address == "" {
-			continue
-		}
-		listener, err := listen(w.name, w.address)
-		if err != nil {
-			return err
-		}
-		p.webs = append(p.webs, web{name: w.name, listener: listener, server: newWeb(w.app)})
-	}
-	return nil
-}
-
-const (
-	// webRead bounds the arrival of a call, webIdle the wait for the next.
-	webRead = 5 * time.Second
-	webIdle = 30 * time.Second
-)
-
-func newWeb(app *fiber.App) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:               app.Handler(),
-		ReadTimeout:           webRead,
-		WriteTimeout:          webRead,
-		IdleTimeout:           webIdle,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		Logger:                discard{},
-	}
-}
-
-// discard drops the lines of fasthttp, which report disconnects and mistakes of
-// clients.
-type discard struct{}
-
-// Printf implements fasthttp.Logger.
-func (discard) Printf(string, ...any) {}
-
 func listen(name string, address fleet.Address) (net.Listener, error) {
 	listener, err := net.Listen("tcp4", string(address))
 	return listener, eris.Wrapf(err, "cannot listen for %s on %s", name, address)
@@ -345,81 +275,3 @@
 	}
 	p.reload()
 }
-
-// sites gives traffic the published control state.
-type sites struct{ process *Process }
-
-// Routes implements dispatch.Sites.
-func (s sites) Routes() *route.Table { return s.process.control.View().Routes() }
-
-// Loaded implements dispatch.Sites.
-func (s sites) Loaded() <-chan struct{} { return s.process.control.Loaded() }
-
-// Upstream implements dispatch.Sites.
-func (s sites) Upstream(name fleet.ServiceName) (*dispatch.Upstream, bool) {
-	return s.process.control.View().Upstream(name)
-}
-
-// Usable implements dispatch.Sites.
-func (s sites) Usable(service fleet.ServiceName, server registry.Incarnation) bool {
-	return s.process.control.View().Usable(service, server)
-}
-
-// policy gives the limits of callers.
-type policy struct{ process *Process }
-
-// Limits implements pipeline.Policy.
-func (p policy) Limits() pipeline.Limits {
-	limits := p.process.control.View().Routes().Limits()
-	return pipeline.Limits{Header: limits.Header, Body: limits.Body, HeaderWait: limits.HeaderWait, Idle: limits.Idle}
-}
-
-// Stopping implements pipeline.Policy.
-func (p policy) Stopping() bool { return p.process.control.View().Stopping() }
-
-// assigner answers callers that ask where to connect.
-type assigner struct{ process *Process }
-
-// keepFor is how long callers keep addresses. It is short, so that they leave an
-// instance soon that is gone; most ask before each connection anyway.
-const keepFor = time.Second
-
-// Assign implements Directory.
-func (a assigner) Assign(domain fleet.Domain) ([]fleet.Address, time.Duration) {
-	var addresses []fleet.Address
-	for _, b := range a.process.control.View().Working().Active(domain) {
-		addresses = append(addresses, b.Caller)
-	}
-	return addresses, min(keepFor, a.process.options.Settings.Bounds.Assignment)
-}
-
-// Ready implements Directory.
-func (a assigner) Ready() bool { return a.process.control.View().Ready() }
-
-// sink hands what the follower reads to the control goroutine. It exists because
-// the follower and the loop need each other.
-type sink struct{ process *Process }
-
-// Listed implements follow.Sink.
-func (s sink) Listed(listing follow.Listing, outage bool) { s.process.control.Listed(listing, outage) }
-
-// Changed implements follow.Sink.
-func (s sink) Changed(changes []follow.Change, revision fleet.Revision) {
-	s.process.control.Changed(changes, revision)
-}
-
-// Lost implements follow.Sink.
-func (s sink) Lost(err error) { s.process.control.Lost(err) }
-
-// Regained implements follow.Sink.
-func (s sink) Regained(after time.Duration) { s.process.control.Regained(after) }
-
-// Missed implements follow.Sink.
-func (s sink) Missed(peer fleet.Address, err error) { s.process.control.Missed(peer, err) }
-
-// globalRandom is the process-wide random source, which may be used
-// concurrently.
-type globalRandom struct{}
-
-// Float64 implements balance.Random.
-func (globalRandom) Float64() float64 { return randv2.Float64() }
