Give no allowance of repeats to instances that are not active

The three active instances made 288 of them; the others repeated requests that only probe the configuration, each with an allowance of its own, 104 together. Change: the allowance is divided among the active instances only. TestQuotaOfIdleInstances failed before.

--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -259,3 +259,37 @@
 		})
 	}
 }
+
+// TestQuotaOfIdleInstances guards against repeats beyond the quota of the fleet:
+// requests that only probe idle instances must not use an allowance on each.
+func TestQuotaOfIdleInstances(t *testing.T) {
+	tests := []struct {
+		name  string
+		cores float64
+		want  float64
+	}{
+		{"active", 0.5, 50.0 / 3},
+		{"idle behind a larger machine", 2, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, _, clock := newTestLoop()
+			one := testServer("s1", fleet.Live)
+			routes := &route.Document{Version: 1, Services: []route.Service{{Name: "s"}}}
+			l.Listed(follow.Listing{Revision: 10, Age: time.Millisecond, Servers: []registry.Server{one}, Routes: routes}, false)
+			apply(l)
+			clock.Advance(time.Second)
+			other := peerBeat("a-2", "a", 10, 0)
+			other.Cores = test.cores
+			for range 4 {
+				clock.Advance(100 * time.Millisecond)
+				l.Heard(other)
+				apply(l)
+				l.state.tick()
+			}
+			upstream, found := l.state.publish().Upstream("s")
+			require.True(t, found)
+			require.InDelta(t, test.want, upstream.Repeats.Left(clock.Now()), 1e-9)
+		})
+	}
+}
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -44,6 +44,8 @@
 	}
 	if change.Active {
 		s.options.Events.Working(s.activeAddresses())
+	}
+	if change.Active || change.Place {
 		s.shareQuota()
 	}
 	s.watch(s.mustWatch(now))
@@ -133,14 +135,15 @@
 	s.urgent = false
 }
 
-// quota returns the part of the fleet's quota that this instance may use.
+// quota returns the part of the fleet's quota that this instance may use. One that
+// is not active gets no allowance, since there are many of them.
 func (s *state) quota() retry.Quota {
-	parts := float64(s.working.View().ActiveCount() + quotaParts)
-	return retry.Quota{
-		Ratio:     quotaShare * s.options.Quota.Ratio,
-		Allowance: s.options.Quota.Allowance / parts,
-		Span:      s.options.Quota.Span,
+	view := s.working.View()
+	quota := retry.Quota{Ratio: quotaShare * s.options.Quota.Ratio, Span: s.options.Quota.Span}
+	if view.Place() == workset.Active {
+		quota.Allowance = s.options.Quota.Allowance / float64(view.ActiveCount()+quotaParts)
 	}
+	return quota
 }
 
 func (s *state) shareQuota() {
