Let the allowance of repeats grow with the time that an instance is active

Cause: instances that take over within a window would each bring a whole allowance; with the ratio's share that can exceed the quota while machines are stopped in turn.

--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -49,6 +49,8 @@
 	rate        float64
 	started     int64
 	watching    bool
+	// activeAt is when this instance got its place.
+	activeAt time.Time
 	// helpUntil is until when an instance that is not active reads the store.
 	helpUntil time.Time
 	ticks     int
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -45,9 +45,10 @@
 	if change.Active {
 		s.options.Events.Working(s.activeAddresses())
 	}
-	if change.Active || change.Place {
-		s.shareQuota()
+	if change.Place {
+		s.activeAt = now
 	}
+	s.shareQuota()
 	s.watch(s.mustWatch(now))
 }
 
@@ -136,12 +137,16 @@
 }
 
 // quota returns the part of the fleet's quota that this instance may use. One that
-// is not active gets no allowance, since there are many of them.
+// is not active gets no allowance, since there are many of them, and one that has
+// become active gets it little by little, since the one before it has used a part
+// in the same window.
 func (s *state) quota() retry.Quota {
 	view := s.working.View()
 	quota := retry.Quota{Ratio: quotaShare * s.options.Quota.Ratio, Span: s.options.Quota.Span}
 	if view.Place() == workset.Active {
-		quota.Allowance = s.options.Quota.Allowance / float64(view.ActiveCount()+quotaParts)
+		active := s.options.Clock.Now().Sub(s.activeAt)
+		grown := min(float64(active)/float64(quota.Span), 1)
+		quota.Allowance = grown * s.options.Quota.Allowance / float64(view.ActiveCount()+quotaParts)
 	}
 	return quota
 }
