--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -1,6 +1,7 @@
 package workset
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -143,16 +144,16 @@
 	}
 	beat := s.self
 	beat.Uptime = now.Sub(s.options.Start)
-	beat.Asks = greeting
+	beat.Asks = lonely
 	var due []Sending
 	if nearDue {
 		s.nearAt = now
 		beat.Every = near
-		to := s.near()
+		due = append(due, Sending{Beat: beat, To: s.near()})
 		if greeting {
-			to = append(to, s.unheard()...)
+			beat.Asks = true
+			due = append(due, Sending{Beat: beat, To: s.greeted()})
 		}
-		due = append(due, Sending{Beat: beat, To: to})
 	}
 	if farDue {
 		s.farAt = now
@@ -189,6 +190,21 @@
 	return addresses
 }
 
+// greeted returns a few addresses to ask for contacts: first those that were not
+// heard, which are in no order, and else any. Each answer names many, so a bounded
+// number is enough, whatever the fleet's size.
+func (s *State) greeted() []fleet.Address {
+	addresses := s.unheard()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, p := range s.peers {
+		if len(addresses) >= maxGreeted {
+			break
+		}
+		addresses = append(addresses, p.beat.Peer)
+	}
+	return addresses[:min(len(addresses), maxGreeted)]
+}
+
 // unheard returns the addresses of seeds and contacts that were not heard.
 func (s *State) unheard() []fleet.Address {
 	known := make(map[fleet.Address]bool, len(s.peers))
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -71,6 +71,9 @@
 	// greetTime is how long a new instance asks for contacts and greets those from
 	// which it has not heard: after a restart of all, the first answers name few.
 	greetTime = 3 * time.Second
+	// maxGreeted is the number of instances that are greeted at a time. Greeting
+	// all would be 300 x 300 datagrams each 0.2 s after a restart of 300.
+	maxGreeted = 20
 	// ratePerCore is the number of requests a second that a core carries with
 	// room for bursts; a request costs about a millisecond at the most.
 	ratePerCore = 500
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -221,6 +221,9 @@
 		for _, s := range states {
 			s.Publish(now)
 			for _, sending := range s.Due(now, false) {
+				if sending.Beat.Asks {
+					require.LessOrEqual(t, len(sending.To), maxGreeted, "the greetings of all do not grow with the square of the fleet")
+				}
 				for _, to := range sending.To {
 					receiver := states[to]
 					if reply, _ := receiver.Heard(now, sending.Beat); reply != "" {
