--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -23,6 +23,7 @@
 	peers   map[fleet.InstanceID]*peer
 	view    *View
 	nearAt  time.Time
+	greetAt time.Time
 	farAt   time.Time
 }
 
@@ -139,7 +140,8 @@
 	}
 	nearDue := urgent || now.Sub(s.nearAt) >= near
 	farDue := urgent || now.Sub(s.farAt) >= far
-	if !nearDue && !farDue {
+	greetDue := greeting && now.Sub(s.greetAt) >= fastEvery
+	if !nearDue && !farDue && !greetDue {
 		return nil
 	}
 	beat := s.self
@@ -150,10 +152,13 @@
 		s.nearAt = now
 		beat.Every = near
 		due = append(due, Sending{Beat: beat, To: s.near()})
-		if greeting {
-			beat.Asks = true
-			due = append(due, Sending{Beat: beat, To: s.greeted()})
-		}
+	}
+	if greetDue {
+		s.greetAt = now
+		asking := beat
+		asking.Asks = true
+		asking.Every = near
+		due = append(due, Sending{Beat: asking, To: s.greeted()})
 	}
 	if farDue {
 		s.farAt = now
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -73,7 +73,7 @@
 	greetTime = 3 * time.Second
 	// maxGreeted is the number of instances that are greeted at a time. Greeting
 	// all would be 300 x 300 datagrams each 0.2 s after a restart of 300.
-	maxGreeted = 20
+	maxGreeted = 8
 	// ratePerCore is the number of requests a second that a core carries with
 	// room for bursts; a request costs about a millisecond at the most.
 	ratePerCore = 500
