--- /dev/null
+++ b/io/gateway/series_test.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/balance"
+	"galenaridge/core/dispatch"
+	"galenaridge/core/exchange"
+)
+
+// TestLabels guards against label sets that grow with what callers and operators
+// send.
+func TestLabels(t *testing.T) {
+	set := metrics.NewSet()
+	s := newSeries(set)
+	for i := range 10 * maxRoutes {
+		s.served(dispatch.Record{
+			ID:       exchange.RequestID(fmt.Sprintf("id-%d", i)),
+			Route:    fmt.Sprintf("route-%d", i),
+			Response: exchange.Response{Status: 200 + i%400},
+			Attempts: []dispatch.AttemptRecord{{Server: "server", Result: balance.Succeeded}},
+		})
+	}
+	var b bytes.Buffer
+	set.WritePrometheus(&b)
+	text := b.String()
+	require.LessOrEqual(t, strings.Count(text, "galenaridge_route_seconds_count"), maxRoutes+1)
+	require.Contains(t, text, `galenaridge_route_seconds_count{route="other"}`)
+	require.LessOrEqual(t, strings.Count(text, "galenaridge_requests_total"), 6)
+	require.NotContains(t, text, "id-")
+}
