--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -251,6 +251,3 @@
 	s.slowness = max(s.slowness, 1)
 	p.usual.observe(l.kind, l.Expected, took-l.waited)
 }
-
-// StallAfter returns how long after its start the attempt counts as stalled.
-func (l *Lease) StallAfter() time.Duration { return l.stallAfter }
--- a/io/decision/line.go
+++ b/io/decision/line.go
@@ -36,8 +36,6 @@
 	Reloaded Event = "reloaded"
 	// Dropped says how many lines were not written since the line before.
 	Dropped Event = "lines-dropped"
-	// Summary counts requests since the summary before.
-	Summary Event = "summary"
 )
 
 // Line is one log line. Fields that do not apply are left out.
