Count parts of time on the steady clock

Cause: the window of the quota of repeats and the tally of failures numbered their parts by the time of day.

--- a/core/balance/cover.go
+++ b/core/balance/cover.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"galenaridge/core/fleet"
+)
 
 // While a service fails a part of its requests, a choice by belief alone would
 // send all requests to few servers. That is ejection of the others without their
@@ -29,12 +33,13 @@
 type tally struct {
 	started [tallySlots]int
 	failed  [tallySlots]int
+	ticks   fleet.Ticks
 	tick    int64
 }
 
 // advance clears the parts that have passed.
 func (t *tally) advance(now time.Time) int64 {
-	tick := now.UnixNano() / int64(tallySlot)
+	tick := t.ticks.At(now, tallySlot)
 	for i := max(t.tick+1, tick-tallySlots+1); i <= tick; i++ {
 		t.started[i%tallySlots], t.failed[i%tallySlots] = 0, 0
 	}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"galenaridge/core/fleet"
 )
 
 // Quota bounds the repeats of a service in any span of time.
@@ -26,6 +28,7 @@
 	firsts [buckets]int
 	// repeats has one more bucket, so that a repeat counts for at least a span.
 	repeats [buckets + 1]int
+	ticks   fleet.Ticks
 	tick    int64
 }
 
@@ -74,7 +77,7 @@
 
 // advance clears the buckets that have left the window.
 func (w *Window) advance(now time.Time) {
-	tick := now.UnixNano() / int64(w.quota.Span/buckets)
+	tick := w.ticks.At(now, w.quota.Span/buckets)
 	if tick <= w.tick {
 		return
 	}
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"galenaridge/standin/steptime"
 )
 
 // TestWindow guards against repeats beyond the quota in any span of time.
@@ -55,3 +57,27 @@
 	require.False(t, w.Spend(now.Add(12*time.Second)))
 	require.True(t, w.Spend(now.Add(time.Hour)))
 }
+
+// TestWindowAfterClockStep guards against a quota that is granted again, or that
+// stays used up, since the time of day jumped.
+func TestWindowAfterClockStep(t *testing.T) {
+	tests := []struct {
+		name  string
+		after time.Duration
+		step  time.Duration
+		want  bool
+	}{
+		{"ahead, within the span", 5 * time.Second, time.Hour, false},
+		{"back, within the span", 5 * time.Second, -time.Hour, false},
+		{"ahead, after the span", 11 * time.Second, time.Hour, true},
+		{"back, after the span", 11 * time.Second, -time.Hour, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := NewWindow(Quota{Allowance: 1, Span: 10 * time.Second})
+			now := time.Now()
+			require.True(t, w.Spend(now))
+			require.Equal(t, test.want, w.Spend(steptime.Step(now.Add(test.after), test.step)))
+		})
+	}
+}
