Add links to the soak, and check that no configuration comes back

The fault soak had no faults of the network. Links before servers, the store and instances are now slow, reset, cut one way, silent or refused; callers keep connections; services take turns with each configuration, so a process that goes back is seen; faults overlap.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -57,10 +57,12 @@
 
 // Server is the stand-in. Its methods may be called concurrently.
 type Server struct {
-	id       string
-	work     time.Duration
-	listener net.Listener
-	wg       conc.WaitGroup
+	id   string
+	work time.Duration
+	// advertised is the address in the store, which may be that of a link.
+	advertised string
+	listener   net.Listener
+	wg         conc.WaitGroup
 
 	mu    sync.Mutex
 	fault Fault
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for the server")
 	}
-	s := &Server{id: id, work: work, listener: listener, open: make(map[net.Conn]struct{})}
+	s := &Server{id: id, work: work, advertised: listener.Addr().String(), listener: listener, open: make(map[net.Conn]struct{})}
 	s.wg.Go(s.accept)
 	return s, nil
 }
@@ -86,10 +88,14 @@
 // Address returns the address of the server.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Advertise sets the address that the entry of the server states, as that of a
+// link before it. It must be called before the entry is written.
+func (s *Server) Advertise(address string) { s.advertised = address }
+
 // Entry returns what the server writes to the store.
 func (s *Server) Entry(service, zone, state string) []byte {
 	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":4,"state":%q,"warmup_left_ms":0,"sequence":1,"born":1}`,
-		service, s.Address(), zone, state)
+		service, s.advertised, zone, state)
 }
 
 // SetFault changes how requests are answered from now on.
--- a/tests/integration/main_test.go
+++ b/tests/integration/main_test.go
@@ -6,6 +6,8 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+
+	"github.com/sirupsen/logrus"
 )
 
 // root is the root of the module.
@@ -17,6 +19,8 @@
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
+	// The library behind links reports each one at this level.
+	logrus.SetLevel(logrus.WarnLevel)
 	var err error
 	if bin, err = os.MkdirTemp("", "integration-bin-"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
