Name small machines by their share of the capacity, and measure the lag of the machine

From 6 s to 16 s a machine of 0.16 cores was active beside one of 0.8; callers choose evenly, so it got half of the requests of its failure domain, and its connections to servers timed out (2,800 attempts). Ruled out: the servers (no other instance saw them unreachable). Change: a directory names each machine to a share of the callers by its capacity. The lag of the control goroutine's ticks marks a machine as slow, which the order of instances already weighed and nothing set. The test of the quota now ticks while time passes, as the loop does.

--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -151,11 +151,6 @@
 	})
 }
 
-// SetSlow says whether the machine runs slowly.
-func (l *Loop) SetSlow(slow bool) {
-	l.try(func(s *state) { s.slow = slow })
-}
-
 // Listing returns what the copy of the store has beyond a revision, for another
 // instance. It fails when the context ends.
 func (l *Loop) Listing(ctx context.Context, known fleet.Revision) (follow.Listing, error) {
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -32,6 +32,7 @@
 	refused  []fleet.Version
 	gone     []fleet.ServerID
 	started  int64
+	slow     []bool
 }
 
 func (r *recorder) Send(workset.Beat, []fleet.Address) {}
@@ -56,6 +57,7 @@
 func (r *recorder) StoreLost(error)                                                   {}
 func (r *recorder) StoreRegained(time.Duration)                                       {}
 func (r *recorder) CopyMissed(fleet.Address, error)                                   {}
+func (r *recorder) Slow(slow bool, _ time.Duration)                                   { r.slow = append(r.slow, slow) }
 func (r *recorder) Stopping()                                                         {}
 
 // newTestLoop returns a loop of an instance in failure domain "a" whose commands
@@ -287,11 +289,15 @@
 				apply(l)
 				l.state.tick()
 			}
-			clock.Advance(5*time.Second - 300*time.Millisecond)
-			other.Uptime = time.Minute
-			l.Heard(other)
-			apply(l)
-			l.state.tick()
+			for i := range 47 {
+				clock.Advance(tickEvery)
+				if i == 46 {
+					other.Uptime = time.Minute
+				}
+				l.Heard(other)
+				apply(l)
+				l.state.tick()
+			}
 			upstream, found := l.state.publish().Upstream("s")
 			require.True(t, found)
 			require.InDelta(t, test.want, upstream.Repeats.Left(clock.Now()), 1e-9)
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -45,7 +45,7 @@
 	behindSince time.Time
 	confirmedAt time.Time
 	stopping    bool
-	slow        bool
+	lag         lag
 	rate        float64
 	started     int64
 	watching    bool
@@ -151,6 +151,9 @@
 		s.options.Events.Gone(id, true)
 	}
 	s.applyServers()
+	if s.lag.tick(now) {
+		s.options.Events.Slow(s.lag.slow, s.lag.mean)
+	}
 	s.ticks++
 	if s.working.View().Place() == workset.Idle && s.loaded() && !s.stopping && s.ticks%idleTicks != 0 {
 		return
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -60,6 +60,9 @@
 	StoreLost(err error)
 	StoreRegained(after time.Duration)
 	CopyMissed(peer fleet.Address, err error)
+	// Slow reports that the machine has become slow, or is no longer, with the
+	// mean lag of its ticks.
+	Slow(slow bool, lag time.Duration)
 	Stopping()
 }
 
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -27,7 +27,7 @@
 	if s.working.SetCondition(workset.Condition{
 		Leaving:  s.stopping,
 		Ready:    s.loaded() && !s.stopping,
-		Slow:     s.slow,
+		Slow:     s.lag.slow,
 		Lost:     s.watching && s.storeLost,
 		Rate:     s.rate,
 		Version:  s.routes.Version(),
--- a/core/workset/queries.go
+++ b/core/workset/queries.go
@@ -72,6 +72,29 @@
 	return v.domains[domain]
 }
 
+// Random gives random numbers.
+type Random interface {
+	Float64() float64
+}
+
+// Assign returns the instances that one caller is told to use. Callers take one of
+// them at random, so a small machine is named only to a part of them: it would be
+// overloaded by as many requests as a large one gets.
+func (v *View) Assign(domain fleet.Domain, random Random) []Beat {
+	active := v.Active(domain)
+	largest := 0.0
+	for _, beat := range active {
+		largest = max(largest, beat.Cores)
+	}
+	named := make([]Beat, 0, len(active))
+	for _, beat := range active {
+		if beat.Cores >= largest || random.Float64()*largest < beat.Cores {
+			named = append(named, beat)
+		}
+	}
+	return named
+}
+
 func (v *View) addresses() []fleet.Address {
 	var addresses []fleet.Address
 	for _, name := range sortedDomains(v.domains) {
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -154,6 +156,48 @@
 	}
 }
 
+// TestAssignByCapacity guards against a small machine that gets as many callers as
+// the large one that it helps, and drowns.
+func TestAssignByCapacity(t *testing.T) {
+	tests := []struct {
+		name  string
+		cores []float64
+	}{
+		{"one small one", []float64{0.8, 0.16}},
+		{"some small ones", []float64{0.8, 0.16, 0.16, 0.16}},
+		{"alike", []float64{0.3, 0.3}},
+		{"one", []float64{0.16}},
+		{"none that says its size", []float64{0, 0}},
+	}
+	const callers = 20_000
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var beats []Beat
+			total := 0.0
+			for i, cores := range test.cores {
+				beat := beatOf(fmt.Sprintf("i%d", i), "a")
+				beat.Cores, beat.Rate = cores, 1000
+				beats = append(beats, beat)
+				total += cores
+			}
+			view := newFleet(begin, beats...)[0].View()
+			random := rand.New(rand.NewPCG(1, 2))
+			got := make(map[fleet.InstanceID]float64)
+			for range callers {
+				named := view.Assign("a", random)
+				require.NotEmpty(t, named)
+				got[named[random.IntN(len(named))].Member.ID] += 1.0 / callers
+			}
+			for _, beat := range beats {
+				if total > 0 && beat.Cores < slices.Max(test.cores) {
+					require.LessOrEqual(t, got[beat.Member.ID], beat.Cores/total+0.01, "share of %s", beat.Member.ID)
+				}
+				require.Positive(t, got[beat.Member.ID], "share of %s", beat.Member.ID)
+			}
+		})
+	}
+}
+
 // TestEffective guards against load beyond what a small link carries.
 func TestEffective(t *testing.T) {
 	tests := []struct {
--- a/io/decision/line.go
+++ b/io/decision/line.go
@@ -26,6 +26,8 @@
 	PeerJoined      Event = "peer-joined"
 	PlaceChanged    Event = "place-changed"
 	WorkingChanged  Event = "working-set-changed"
+	// MachineSlow says that the machine lags, or no longer does.
+	MachineSlow Event = "machine-slow"
 )
 
 // Events of the process.
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -163,5 +163,14 @@
 	j.lines.Write(decision.Line{Event: decision.CopyMissed, Peer: string(peer), Cause: err.Error()})
 }
 
+// Slow implements gateway.Events of core.
+func (j *journal) Slow(slow bool, lag time.Duration) {
+	line := decision.Line{Event: decision.MachineSlow, State: "begins", AgeMS: lag.Milliseconds()}
+	if !slow {
+		line.State = "ends"
+	}
+	j.lines.Write(line)
+}
+
 // Stopping implements gateway.Events of core.
 func (j *journal) Stopping() { j.lines.Write(decision.Line{Event: decision.Stopping}) }
--- a/io/gateway/ports.go
+++ b/io/gateway/ports.go
@@ -53,7 +53,7 @@
 // Assign implements Directory.
 func (a assigner) Assign(domain fleet.Domain) ([]fleet.Address, time.Duration) {
 	var addresses []fleet.Address
-	for _, b := range a.process.control.View().Working().Active(domain) {
+	for _, b := range a.process.control.View().Working().Assign(domain, globalRandom{}) {
 		addresses = append(addresses, b.Caller)
 	}
 	return addresses, min(keepFor, a.process.options.Settings.Bounds.Assignment)
