Cover the floor in expectation, over all instances, with idempotent requests first

Of the stalls of requests that must not repeat, 322 of 570 were on servers believed sound, which is what their hazard costs; 197 came from 767 requests to servers believed to fail with 0.1 and more, most of them for the floor: each of two active instances covered all servers of its failure domain, also while nearly all that may be sound had requests. Change: a server used by another instance counts as used; covering begins when more than 0.15 of the servers that are expected to be sound are without a request, and takes the one that most likely is sound; protected requests cover after 1.6 s, idempotent ones after 1.2 s. TestFloor passes unchanged.

Only the first in rank of the active instances of a failure domain reads the store; the others read it when the copy ages.

--- a/core/balance/cover.go
+++ b/core/balance/cover.go
@@ -15,9 +15,15 @@
 	// covered. Idempotent requests do not count as failed, since second attempts
 	// serve most of them, and single errors of sound servers stay below.
 	coverAbove = 0.055
-	// coverEvery is the longest time without a request for a server that may be
-	// sound, while servers are covered.
-	coverEvery = 1200 * time.Millisecond
+	// coverEvery is the time without a request after which a server counts as
+	// missing, while servers are covered. The floor is kept over any 2 s. Idempotent
+	// requests cover servers sooner, since they may be repeated.
+	coverEvery = 1600 * time.Millisecond
+	coverSoon  = 1200 * time.Millisecond
+	// coverSlack is the share of the servers that are expected to be sound which
+	// may be without a request. The floor allows 0.3; half of it is left for
+	// beliefs that are wrong.
+	coverSlack = 0.15
 	// coverSuspected is the time after its last failure after which a suspected
 	// server is covered too.
 	coverSuspected = 3 * time.Second
@@ -66,36 +72,72 @@
 	return float64(failed) / float64(started)
 }
 
-// cover returns the server that has been without a request for longest, if
-// requests of the service fail and that is too long.
+// cover returns the server that should get a request for the floor, if requests of
+// the service fail and too many servers that may be sound are without one: the one
+// that most likely is sound.
 func (p *Pool) cover(now time.Time, ask Ask) *server {
-	stalled := 0
-	for _, s := range p.list {
-		for _, l := range s.leases {
-			if !l.idempotent && now.Sub(l.started) > l.stallAfter {
-				stalled++
-			}
-		}
-	}
-	if p.recent.share(now, stalled) < coverAbove {
+	if p.recent.share(now, p.overdue(now)) < coverAbove {
 		return nil
 	}
-	var longest *server
+	within := coverEvery
+	if ask.Idempotent {
+		within = coverSoon
+	}
+	var best *server
+	total, missing, least := 0.0, 0.0, 1.0
 	for _, s := range p.list {
-		if s.info.Domain != p.options.Domain || now.Sub(s.triedAt) < coverEvery || now.Before(s.cutUntil) || excluded(ask.Exclude, s.info.Incarnation) {
+		if s.info.Domain != p.options.Domain || now.Before(s.cutUntil) {
 			continue
 		}
-		if !p.mayCover(now, s) {
+		failing := s.failing(now)
+		total += 1 - failing
+		if now.Sub(s.lastTried(now)) < within {
 			continue
 		}
-		if longest == nil || s.triedAt.Before(longest.triedAt) {
-			longest = s
+		missing += 1 - failing
+		if failing < least && p.mayCover(now, s) && !excluded(ask.Exclude, s.info.Incarnation) {
+			best, least = s, failing
 		}
 	}
-	if longest != nil && longest.joint(now) >= suspectAbove {
+	if best == nil || missing <= coverSlack*total {
+		return nil
+	}
+	if best.joint(now) >= suspectAbove {
 		p.coveredAt = now
 	}
-	return longest
+	return best
+}
+
+// overdue counts the attempts that must not run twice and take longer than usual.
+func (p *Pool) overdue(now time.Time) int {
+	count := 0
+	for _, s := range p.list {
+		for _, l := range s.leases {
+			if !l.idempotent && now.Sub(l.started) > l.stallAfter {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// lastTried returns when the server last had a request, of this instance or of
+// another one as far as it told.
+func (s *server) lastTried(now time.Time) time.Time {
+	last := s.triedAt
+	for _, r := range s.remotes {
+		if now.Sub(r.heardAt) > shareLife {
+			continue
+		}
+		at := r.belief.at
+		if r.outstanding > 0 {
+			at = r.heardAt
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
 }
 
 // mayCover reports whether a server may be sound.
--- a/core/balance/cover_test.go
+++ b/core/balance/cover_test.go
@@ -1,11 +1,13 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"galenaridge/core/registry"
 	"galenaridge/standin/steptime"
 )
 
@@ -33,3 +35,56 @@
 		})
 	}
 }
+
+// TestCover guards against a floor that is kept at the cost of requests where it is
+// not in danger, and against one that is not kept.
+func TestCover(t *testing.T) {
+	const servers = 20
+	tests := []struct {
+		name string
+		// used servers had a request a short time ago, waiting is the time since
+		// the last one on the others.
+		used    int
+		waiting time.Duration
+		ask     Ask
+		// told says that another instance sends requests to the others.
+		told   bool
+		failed bool
+		want   bool
+	}{
+		{"most are missing", 2, 1700 * time.Millisecond, protectedAsk(), false, true, true},
+		{"the service does not fail", 2, 1700 * time.Millisecond, protectedAsk(), false, false, false},
+		{"few are missing", 18, 1700 * time.Millisecond, protectedAsk(), false, true, false},
+		{"another instance uses them", 2, 1700 * time.Millisecond, protectedAsk(), true, true, false},
+		{"an idempotent request comes first", 2, 1300 * time.Millisecond, idempotentAsk(), false, true, true},
+		{"a protected one later", 2, 1300 * time.Millisecond, protectedAsk(), false, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var all []registry.Server
+			for i := range servers {
+				all = append(all, listed(fmt.Sprintf("s%02d", i), "a", 4))
+			}
+			p := newTestPool(all...)
+			now := start.Add(test.waiting)
+			var told []Share
+			for i, s := range p.list {
+				s.triedAt = start
+				s.belief = belief{failing: 0.05, at: start}
+				if i < test.used {
+					s.triedAt = now
+					continue
+				}
+				told = append(told, Share{Key: s.key, Outstanding: 1, Failing: 0.05})
+			}
+			if test.told {
+				p.Hear(now, "other", told)
+			}
+			p.recent.start(now)
+			if test.failed {
+				p.recent.fail(now)
+			}
+			require.Equal(t, test.want, p.cover(now, test.ask) != nil)
+		})
+	}
+}
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -262,6 +262,36 @@
 	}
 }
 
+// TestOneReader guards against calls to the store by each of several active
+// instances of a failure domain, and against none when the copy ages.
+func TestOneReader(t *testing.T) {
+	tests := []struct {
+		name string
+		age  time.Duration
+		want bool
+	}{
+		{"another one reads", 100 * time.Millisecond, false},
+		{"the copy ages", 2 * time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, r, clock := newTestLoop()
+			l.Listed(follow.Listing{Revision: 10, Age: test.age}, false)
+			apply(l)
+			larger := peerBeat("a-2", "a", 10, test.age)
+			larger.Cores, larger.Rate = 2, 10_000
+			for range 3 {
+				clock.Advance(tickEvery)
+				l.Heard(larger)
+				apply(l)
+				l.state.tick()
+			}
+			require.Equal(t, workset.Active, l.View().Working().Place())
+			require.Equal(t, test.want, r.watching)
+		})
+	}
+}
+
 // TestQuotaOfIdleInstances guards against repeats beyond the quota of the fleet:
 // requests that only probe idle instances must not use an allowance on each.
 func TestQuotaOfIdleInstances(t *testing.T) {
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -63,20 +63,19 @@
 	return now.Sub(s.confirmedAt)
 }
 
-// mustWatch reports whether this instance reads the store. Active ones do, and
-// their beats keep all others current. When the store turns them away, the next
-// one in rank reads it, and more do when the copy ages all the same.
+// mustWatch reports whether this instance reads the store. The first in rank that
+// the store answers does, and its beats keep all others of its failure domain
+// current. When the copy ages all the same, other active instances and the next
+// ones in rank read it as well.
 func (s *state) mustWatch(now time.Time) bool {
 	view := s.working.View()
-	if view.Place() == workset.Active || s.revision == 0 {
+	if s.revision == 0 || view.Reader() && view.Place() == workset.Active {
 		return true
 	}
 	age := s.age(now)
 	rank := view.Rank()
-	if view.Reader() {
-		s.helpUntil = now.Add(helpFor)
-	}
-	if age > ownAfter && rank <= firstHelpers || age > ownAfter+helpPause && rank <= lastHelpers {
+	helper := rank <= firstHelpers || view.Place() == workset.Active
+	if view.Reader() || age > ownAfter && helper || age > ownAfter+helpPause && rank <= lastHelpers {
 		s.helpUntil = now.Add(helpFor)
 	}
 	return now.Before(s.helpUntil)
