--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -21,7 +21,7 @@
 	lateSquareCost = 0.5
 	// distanceCost is that of another failure domain: bytes between failure
 	// domains are paid for.
-	distanceCost = 0.03
+	distanceCost = 0.08
 	// coldFactor and coldCost weigh a server that started a short time ago; it
 	// works at about half its speed.
 	coldFactor = 2.0
