Take several overdue requests at once for a stall with careful detection

Change: with careful detection two requests that are overdue at once, each older than three times the 99th percentile, are a stall whatever else is answered.

--- a/core/health/detect.go
+++ b/core/health/detect.go
@@ -54,8 +54,13 @@
 	return count
 }
 
-// stalled reports whether requests wait and none succeeds.
+// stalled reports whether requests wait and none succeeds, or several wait at once:
+// a server that stalls by turns answers others meanwhile.
 func (c *comparison) stalled(w *window, s *Snapshot, overdue int, patience time.Duration) bool {
+	several := c.thresholds.overdueEnough
+	if several > 0 && overdue >= several {
+		return true
+	}
 	quiet := min(s.Quiet, patience)
 	if quiet < c.stallAge {
 		return false
--- a/core/health/sim_test.go
+++ b/core/health/sim_test.go
@@ -21,6 +21,9 @@
 	slow
 	half
 	flaps
+	// quickFlaps stalls for 1 s and works for 1 s. What came while it stalled
+	// gets no answer at all.
+	quickFlaps
 )
 
 const (
@@ -112,6 +115,9 @@
 // failingNow reports whether a fault is active; a flapping server fails for
 // 3 s and works for 3 s.
 func (m *simulation) failingNow(faulty bool) bool {
+	if m.fault == quickFlaps {
+		return faulty && m.now.Sub(m.onset)%(2*time.Second) < time.Second
+	}
 	return faulty && (m.fault != flaps || m.now.Sub(m.onset)%(6*time.Second) < 3*time.Second)
 }
 
@@ -147,6 +153,9 @@
 	if m.now.Before(v.coldEnd) || active && m.fault == slow {
 		took *= 5
 	}
+	if active && m.fault == quickFlaps {
+		took = simDeadline
+	}
 	result := Succeeded
 	if active && m.fault == half && m.random.IntN(2) == 0 || m.random.IntN(300) == 0 {
 		result = Failed
@@ -247,6 +256,8 @@
 		{"fast slow", fleet.Fast, slow, 6, time.Second},
 		{"fast half", fleet.Fast, half, 6, time.Second},
 		{"fast flaps", fleet.Fast, flaps, 6, time.Second},
+		{"fast quick flaps", fleet.Fast, quickFlaps, 6, time.Second},
+		{"careful quick flaps", fleet.Careful, quickFlaps, 6, 3 * time.Second},
 		{"careful stall", fleet.Careful, stall, 6, 3 * time.Second},
 		{"careful stall alone", fleet.Careful, stall, 1, 3 * time.Second},
 		{"careful slow", fleet.Careful, slow, 6, 3 * time.Second},
--- a/core/health/thresholds.go
+++ b/core/health/thresholds.go
@@ -67,6 +67,10 @@
 	// stallSingle multiplies the threshold if only one request is overdue, as
 	// one slow request is weaker evidence than several.
 	stallSingle float64
+	// overdueEnough is how many overdue requests at once are a stall though the
+	// server answers others, or zero. Only where the stall threshold is far above
+	// usual latencies is that rare on a working server.
+	overdueEnough int
 
 	// shareLimit is the share of failures among the latest shareAttempts.
 	shareLimit    float64
@@ -115,7 +119,7 @@
 		}
 	}
 	return thresholds{
-		stallFloor: 1500 * time.Millisecond, stallFactor: 3, stallUnlearned: 0.35, stallSingle: 1.3,
+		stallFloor: 1500 * time.Millisecond, stallFactor: 3, stallUnlearned: 0.35, stallSingle: 1.3, overdueEnough: 2,
 		shareLimit: 0.44, shareAttempts: 16, allFailed: 4,
 		slowRatio: 2.2, slowMargin: 30 * time.Millisecond, slowAttempts: 16, slowSpread: 8, slowHold: 900 * time.Millisecond,
 		warmup: 4 * time.Second, refusals: 3,
