Keep one copy of what attempts showed and what may follow

One behaviour changes: the answer of a server is no longer replaced by a later refusal, which dispatch already did for second attempts. The tests of both engines pass, with the type renamed in them.

--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -5,11 +5,11 @@
 	"sync/atomic"
 	"time"
 
+	"galenaridge/core/attempt"
 	"galenaridge/core/balance"
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
 	"galenaridge/core/registry"
-	"galenaridge/core/retry"
 	"galenaridge/core/route"
 )
 
@@ -71,10 +71,7 @@
 	// tried are the servers that were chosen.
 	tried    []registry.Incarnation
 	attempts []AttemptRecord
-	// sent counts the attempts that may have reached a server.
-	sent int
-	// ran says that the request may have run, so no refusal may deny it.
-	ran bool
+	trail    attempt.Trail
 }
 
 // serve finds the service and runs the attempts.
@@ -123,18 +120,17 @@
 // single runs a request that must not run twice: one attempt at a time, and
 // another only after one that did not run.
 func (r *run) single(ctx context.Context) exchange.Response {
-	var last exchange.Response
 	for range maxSends {
 		lease, refusal := r.pick(false)
 		if lease == nil {
-			return r.final(last, refusal)
+			return r.final(refusal)
 		}
-		last = r.attempt(ctx, lease, false)
-		if !r.again(ctx, last) {
+		r.attempt(ctx, lease)
+		if !r.again(ctx) {
 			break
 		}
 	}
-	return r.final(last, balance.Chosen)
+	return r.final(balance.Chosen)
 }
 
 // pick chooses a server that was not tried.
@@ -157,27 +153,21 @@
 // outcome is the end of an attempt.
 type outcome struct {
 	response exchange.Response
-	evidence Evidence
+	evidence attempt.Evidence
 	record   AttemptRecord
 }
 
 // attempt makes one attempt in the goroutine of the run.
-func (r *run) attempt(ctx context.Context, lease *balance.Lease, hedge bool) exchange.Response {
+func (r *run) attempt(ctx context.Context, lease *balance.Lease) {
 	ctx, cancel := context.WithDeadline(ctx, r.request.Deadline)
 	defer cancel()
-	return r.take(r.engine.send(ctx, r.request, r.arrived, lease, hedge))
+	r.take(r.engine.send(ctx, r.request, r.arrived, lease, false))
 }
 
 // take records the end of an attempt.
-func (r *run) take(o outcome) exchange.Response {
+func (r *run) take(o outcome) {
 	r.attempts = append(r.attempts, o.record)
-	if o.evidence.Written {
-		r.sent++
-		if !o.evidence.Declined {
-			r.ran = true
-		}
-	}
-	return o.response
+	r.trail = r.trail.Then(attempt.Of(o.response, o.evidence))
 }
 
 // send makes one attempt and tells the pool how it ended.
@@ -213,43 +203,36 @@
 }
 
 // again decides about another attempt after one that ended.
-func (r *run) again(ctx context.Context, last exchange.Response) bool {
+func (r *run) again(ctx context.Context) bool {
 	now := r.engine.options.Clock.Now()
 	if ctx.Err() != nil {
 		return false
 	}
-	decision := retry.Decide(retry.Attempt{
-		Answered:   r.answered(last),
+	wanted := r.trail.Again(attempt.Rules{
 		Idempotent: r.route.Idempotent,
-		Written:    r.ran,
-		Made:       r.sent,
 		Limit:      max(r.route.Attempts, 1),
 		Left:       r.request.Deadline.Sub(now),
 		Expected:   r.upstream.Servers.Usual(balance.Kind(r.route.Name), r.route.Objective) / 2,
 	})
-	if decision != retry.Again {
+	if !wanted {
 		return false
 	}
 	// Attempts that reached no server add no load.
-	return r.sent == 0 || r.upstream.Repeats.Spend(now)
+	return r.trail.Made == 0 || r.upstream.Repeats.Spend(now)
 }
 
 // answered reports whether a response is one to pass on.
 func (r *run) answered(response exchange.Response) bool {
-	return !response.Refused() && (!r.route.Idempotent || response.Status < 500)
+	return attempt.Answered(response, r.route.Idempotent)
 }
 
-// final returns the answer to the caller after the last attempt. An answer of a
-// server is passed on as it is, and a refusal says "not run" only if that is
-// true for all attempts.
-func (r *run) final(last exchange.Response, refusal balance.Refusal) exchange.Response {
+// final returns the answer to the caller after the last attempt. A refusal tells
+// the caller when to come back.
+func (r *run) final(refusal balance.Refusal) exchange.Response {
+	last := r.trail.Response
 	switch {
-	case last.Status != 0 && !last.Refused():
-		return last
-	case r.ran && last.Status != 0 && last.Outcome != fleet.NotRun:
+	case r.trail.Ran, last.Status != 0 && !last.Refused():
 		return last
-	case r.ran:
-		return exchange.Refuse(exchange.UpstreamLost, "the server did not answer; the request may have run")
 	case refusal == balance.NoRoom:
 		return refuse(exchange.Overloaded, "no server can answer before the deadline", refusalPause)
 	case last.Status != 0 && !r.engine.options.Clock.Now().Before(r.request.Deadline):
@@ -260,7 +243,7 @@
 }
 
 // resultOf is what an attempt says about its server.
-func resultOf(response exchange.Response, evidence Evidence) balance.Result {
+func resultOf(response exchange.Response, evidence attempt.Evidence) balance.Result {
 	switch {
 	case evidence.Misdirected:
 		return balance.Misdirected
--- a/core/dispatch/engine_test.go
+++ b/core/dispatch/engine_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"galenaridge/core/attempt"
 	"galenaridge/core/balance"
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
@@ -37,9 +38,9 @@
 }
 
 // step is how an attempt ends.
-type step func(ctx context.Context, attempt Attempt) (exchange.Response, Evidence)
+type step func(ctx context.Context, attempt Attempt) (exchange.Response, attempt.Evidence)
 
-func (s *steps) Send(ctx context.Context, attempt Attempt) (exchange.Response, Evidence) {
+func (s *steps) Send(ctx context.Context, attempt Attempt) (exchange.Response, attempt.Evidence) {
 	s.mu.Lock()
 	n := len(s.sent)
 	s.sent = append(s.sent, attempt)
@@ -54,28 +55,28 @@
 }
 
 func status(code int) step {
-	return func(_ context.Context, a Attempt) (exchange.Response, Evidence) {
-		return exchange.Response{Outcome: fleet.Done, Status: code, Server: a.Server.ID}, Evidence{Written: true, Complete: true}
+	return func(_ context.Context, a Attempt) (exchange.Response, attempt.Evidence) {
+		return exchange.Response{Outcome: fleet.Done, Status: code, Server: a.Server.ID}, attempt.Evidence{Written: true, Complete: true}
 	}
 }
 
-func declined(context.Context, Attempt) (exchange.Response, Evidence) {
-	return exchange.Refuse(exchange.Overloaded, "shed"), Evidence{Written: true, Declined: true}
+func declined(context.Context, Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Refuse(exchange.Overloaded, "shed"), attempt.Evidence{Written: true, Declined: true}
 }
 
-func unreachable(context.Context, Attempt) (exchange.Response, Evidence) {
-	return exchange.Refuse(exchange.NoCapacity, "refused"), Evidence{}
+func unreachable(context.Context, Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Refuse(exchange.NoCapacity, "refused"), attempt.Evidence{}
 }
 
-func broken(context.Context, Attempt) (exchange.Response, Evidence) {
-	return exchange.Refuse(exchange.UpstreamLost, "reset"), Evidence{Written: true}
+func broken(context.Context, Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Refuse(exchange.UpstreamLost, "reset"), attempt.Evidence{Written: true}
 }
 
 // stall ends with the context.
-func stall(ctx context.Context, _ Attempt) (exchange.Response, Evidence) {
+func stall(ctx context.Context, _ Attempt) (exchange.Response, attempt.Evidence) {
 	<-ctx.Done()
 	timedOut := ctx.Err() == context.DeadlineExceeded
-	return exchange.Refuse(exchange.UpstreamTimeout, "stalled"), Evidence{Written: true, TimedOut: timedOut, Canceled: !timedOut}
+	return exchange.Refuse(exchange.UpstreamTimeout, "stalled"), attempt.Evidence{Written: true, TimedOut: timedOut, Canceled: !timedOut}
 }
 
 // sites is a control state with one route of each kind.
--- a/core/dispatch/hedge.go
+++ b/core/dispatch/hedge.go
@@ -36,10 +36,9 @@
 // decide starts attempts until one answers.
 func (c *race) decide() exchange.Response {
 	r := c.run
-	var last exchange.Response
 	lease, refusal := r.pick(c.mayTry())
 	if lease == nil {
-		return r.final(last, refusal)
+		return r.final(refusal)
 	}
 	wait, stop := c.start(lease, false)
 	defer func() { stop() }()
@@ -47,17 +46,14 @@
 		select {
 		case o := <-c.ended:
 			c.open--
-			response := r.take(o)
+			r.take(o)
 			if !o.evidence.Written {
 				c.launched--
 			}
-			if r.answered(response) {
-				return response
+			if r.answered(o.response) {
+				return o.response
 			}
-			if !response.Refused() || last.Status == 0 || last.Refused() {
-				last = response
-			}
-			if c.open > 0 || !r.again(c.ctx, response) {
+			if c.open > 0 || !r.again(c.ctx) {
 				continue
 			}
 		case <-wait:
@@ -71,7 +67,7 @@
 			wait, stop = c.start(next, true)
 		}
 	}
-	return r.final(last, refusal)
+	return r.final(refusal)
 }
 
 // next chooses the server of a further attempt.
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"galenaridge/core/attempt"
 	"galenaridge/core/balance"
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
@@ -34,7 +35,7 @@
 
 // Sender makes one attempt on one server and never repeats it.
 type Sender interface {
-	Send(ctx context.Context, attempt Attempt) (exchange.Response, Evidence)
+	Send(ctx context.Context, a Attempt) (exchange.Response, attempt.Evidence)
 }
 
 // Attempt is one request to one server.
@@ -47,26 +48,6 @@
 	MayWrite func() bool
 }
 
-// Evidence is what an attempt showed.
-type Evidence struct {
-	// Written reports that a byte of the request may have reached the server.
-	Written bool
-	// Complete reports that the whole answer of the server was read.
-	Complete bool
-	// Declined reports that the server stated that it did not run the request.
-	Declined bool
-	// Misdirected reports that another server is at the address.
-	Misdirected bool
-	// TimedOut reports that no answer came before the deadline.
-	TimedOut bool
-	// Canceled reports that the context ended the attempt.
-	Canceled bool
-	// Load is what the server stated; its Slots are zero if it did not.
-	Load balance.Load
-	// Err is the failure, nil if Complete.
-	Err error
-}
-
 // Journal takes what happened to a request. It must not block.
 type Journal interface {
 	Served(record Record)
--- a/core/traffic/engine_test.go
+++ b/core/traffic/engine_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"galenaridge/core/admission"
+	"galenaridge/core/attempt"
 	"galenaridge/core/config"
 	"galenaridge/core/control"
 	"galenaridge/core/exchange"
@@ -41,7 +42,7 @@
 	mu      sync.Mutex
 	clock   *clockwork.FakeClock
 	view    *control.View
-	send    func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence)
+	send    func(a traffic.Attempt) (exchange.Response, attempt.Evidence)
 	execute func(to member.Peer) (exchange.Response, bool)
 	submit  func(to member.Peer) (exchange.Response, bool)
 	sent    []fleet.ServerID
@@ -68,11 +69,11 @@
 	f.drained = append(f.drained, server)
 }
 
-func (f *fake) Send(_ context.Context, attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+func (f *fake) Send(_ context.Context, a traffic.Attempt) (exchange.Response, attempt.Evidence) {
 	f.mu.Lock()
-	f.sent = append(f.sent, attempt.Server.ID)
+	f.sent = append(f.sent, a.Server.ID)
 	f.mu.Unlock()
-	return f.send(attempt)
+	return f.send(a)
 }
 
 func (f *fake) Execute(_ context.Context, to member.Peer, _ exchange.Request) (exchange.Response, bool) {
@@ -189,30 +190,30 @@
 
 // Attempts on a server.
 
-func succeed(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
-	if !attempt.MayWrite() {
-		return denied(attempt)
+func succeed(a traffic.Attempt) (exchange.Response, attempt.Evidence) {
+	if !a.MayWrite() {
+		return denied(a)
 	}
-	return exchange.Response{Outcome: fleet.Done, Status: 200}, traffic.Evidence{Written: true, Complete: true}
+	return exchange.Response{Outcome: fleet.Done, Status: 200}, attempt.Evidence{Written: true, Complete: true}
 }
 
-func fail(traffic.Attempt) (exchange.Response, traffic.Evidence) {
-	return exchange.Response{Outcome: fleet.Done, Status: 500}, traffic.Evidence{Written: true, Complete: true}
+func fail(traffic.Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Response{Outcome: fleet.Done, Status: 500}, attempt.Evidence{Written: true, Complete: true}
 }
 
-func lost(traffic.Attempt) (exchange.Response, traffic.Evidence) {
-	return exchange.Refuse(exchange.UpstreamLost, ""), traffic.Evidence{Written: true}
+func lost(traffic.Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Refuse(exchange.UpstreamLost, ""), attempt.Evidence{Written: true}
 }
 
-func refused(traffic.Attempt) (exchange.Response, traffic.Evidence) {
-	return exchange.Refuse(exchange.NoCapacity, ""), traffic.Evidence{Refused: true}
+func refused(traffic.Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Refuse(exchange.NoCapacity, ""), attempt.Evidence{Refused: true}
 }
 
-func denied(traffic.Attempt) (exchange.Response, traffic.Evidence) {
-	return exchange.Refuse(exchange.NotReady, ""), traffic.Evidence{}
+func denied(traffic.Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Refuse(exchange.NotReady, ""), attempt.Evidence{}
 }
 
-type sends []func(traffic.Attempt) (exchange.Response, traffic.Evidence)
+type sends []func(traffic.Attempt) (exchange.Response, attempt.Evidence)
 
 // TestLocal guards against a protected request that is sent again although it
 // may have been written, and against "not run" after an attempt was written.
@@ -241,8 +242,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := start(t, []fleet.ServerID{"1", "2", "3"})
-			f.send = func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
-				return tt.sends[len(f.sent)-1](attempt)
+			f.send = func(a traffic.Attempt) (exchange.Response, attempt.Evidence) {
+				return tt.sends[len(f.sent)-1](a)
 			}
 			got := f.serve(tt.method)
 			assert.Equal(t, tt.outcome, got.Outcome)
@@ -387,12 +388,12 @@
 // deadline of the service.
 func TestLapse(t *testing.T) {
 	f := start(t, []fleet.ServerID{"1"})
-	f.send = func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	f.send = func(a traffic.Attempt) (exchange.Response, attempt.Evidence) {
 		latest := f.view.Members.LeaseUntil().Add(2 * time.Second)
-		assert.False(t, attempt.Deadline.After(latest))
+		assert.False(t, a.Deadline.After(latest))
 		f.clock.Advance(3 * time.Second)
-		assert.False(t, attempt.MayWrite())
-		return denied(attempt)
+		assert.False(t, a.MayWrite())
+		return denied(a)
 	}
 	request := f.request("GET")
 	request.Deadline = f.clock.Now().Add(time.Minute)
@@ -403,8 +404,8 @@
 // not passed on.
 func TestDraining(t *testing.T) {
 	f := start(t, []fleet.ServerID{"1"})
-	f.send = func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
-		response, evidence := succeed(attempt)
+	f.send = func(a traffic.Attempt) (exchange.Response, attempt.Evidence) {
+		response, evidence := succeed(a)
 		evidence.Draining = true
 		return response, evidence
 	}
@@ -415,12 +416,12 @@
 // TestHeldSlots guards against a slot that is used again while the server may
 // still work on a request that was given up here.
 func TestHeldSlots(t *testing.T) {
-	timedOut := func(traffic.Attempt) (exchange.Response, traffic.Evidence) {
-		return exchange.Refuse(exchange.UpstreamTimeout, ""), traffic.Evidence{Written: true, TimedOut: true}
+	timedOut := func(traffic.Attempt) (exchange.Response, attempt.Evidence) {
+		return exchange.Refuse(exchange.UpstreamTimeout, ""), attempt.Evidence{Written: true, TimedOut: true}
 	}
 	tests := []struct {
 		name string
-		send func(traffic.Attempt) (exchange.Response, traffic.Evidence)
+		send func(traffic.Attempt) (exchange.Response, attempt.Evidence)
 		held time.Duration
 	}{
 		{"done", succeed, 0},
--- a/core/traffic/local.go
+++ b/core/traffic/local.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenaridge/core/admission"
+	"galenaridge/core/attempt"
 	"galenaridge/core/control"
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
@@ -13,26 +14,26 @@
 )
 
 // runLocal carries out a request on the servers that this instance owns.
-func (e *Engine) runLocal(ctx context.Context, request exchange.Request) trial {
+func (e *Engine) runLocal(ctx context.Context, request exchange.Request) attempt.Trail {
 	var exclude []fleet.ServerID
-	all := trial{response: exchange.Refuse(exchange.NoCapacity, "this instance owns no server of the service")}
+	all := refused(exchange.NoCapacity, "this instance owns no server of the service")
 	for {
 		view := e.options.Control.View()
 		service := view.Services[request.Service]
 		if service == nil {
-			return all.then(trial{response: exchange.Refuse(exchange.NoService, "service is not configured")})
+			return all.Then(refused(exchange.NoService, "service is not configured"))
 		}
 		if len(service.Servers) == 0 || !view.Lease(e.options.Clock.Now()) {
 			return all
 		}
 		grant, err := service.Pool.Acquire(ctx, e.ask(view, request, exclude))
 		if err != nil {
-			return all.then(trial{response: refuseAdmission(err)})
+			return all.Then(attempt.Trail{Response: refuseAdmission(err)})
 		}
 		exclude = append(exclude, grant.Server)
 		t := e.attempt(ctx, grant, request)
-		all = all.then(t)
-		if !e.againHere(service, request, t, len(exclude)) {
+		all = all.Then(t)
+		if !e.againHere(service, request, t, all, len(exclude)) {
 			return all
 		}
 	}
@@ -50,25 +51,26 @@
 	}
 }
 
-// againHere decides whether another server of this instance should be tried.
-func (e *Engine) againHere(service *control.Service, request exchange.Request, t trial, made int) bool {
-	if made >= len(service.Servers) {
+// againHere decides whether another server of this instance should be tried after
+// the last one.
+func (e *Engine) againHere(service *control.Service, request exchange.Request, last, all attempt.Trail, tried int) bool {
+	if tried >= len(service.Servers) {
 		return false
 	}
-	if t.made == 0 {
-		return made < retry.MaxAttempts && e.free(request, t)
+	if last.Made == 0 {
+		return tried < retry.MaxAttempts && e.free(request, last)
 	}
-	return e.retry(service, request, t, made)
+	return e.retry(service, request, all)
 }
 
 // attempt sends the request to the server of the grant and gives the slot back.
-func (e *Engine) attempt(ctx context.Context, grant *admission.Grant, request exchange.Request) trial {
+func (e *Engine) attempt(ctx context.Context, grant *admission.Grant, request exchange.Request) attempt.Trail {
 	clear := time.Duration(0)
 	defer func() { release(grant, clear) }()
 	// The view is read again, since the wait for the slot may have been long.
 	service := e.options.Control.View().Services[request.Service]
 	if service == nil || service.Servers[grant.Server] == nil {
-		return trial{response: exchange.Refuse(exchange.NoCapacity, "the server has another owner now")}
+		return refused(exchange.NoCapacity, "the server has another owner now")
 	}
 	server := service.Servers[grant.Server]
 	result := health.Canceled
@@ -86,11 +88,7 @@
 	if evidence.Draining && server.Listed.Presence != fleet.Leaving {
 		e.options.Drains.ServerDraining(request.Service, server.Listed.ID)
 	}
-	t := trial{response: response, written: evidence.Written}
-	if evidence.Written || evidence.Refused {
-		t.made = 1
-	}
-	return t
+	return attempt.Of(response, evidence)
 }
 
 const (
@@ -105,7 +103,7 @@
 
 // clearing returns how long a server may still work on a request after its
 // attempt ended here. Its slot must not be used in that time.
-func clearing(evidence Evidence) time.Duration {
+func clearing(evidence attempt.Evidence) time.Duration {
 	switch {
 	case !evidence.Written || evidence.Complete:
 		return 0
@@ -142,7 +140,7 @@
 }
 
 // resultOf is what an attempt says about the server.
-func resultOf(response exchange.Response, evidence Evidence) health.Result {
+func resultOf(response exchange.Response, evidence attempt.Evidence) health.Result {
 	switch {
 	case evidence.Complete && response.Status < 500:
 		return health.Succeeded
--- a/core/traffic/options.go
+++ b/core/traffic/options.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"galenaridge/core/attempt"
 	"galenaridge/core/control"
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
@@ -24,7 +25,7 @@
 
 // Sender makes one attempt on one slot of one server and never repeats it.
 type Sender interface {
-	Send(ctx context.Context, attempt Attempt) (exchange.Response, Evidence)
+	Send(ctx context.Context, a Attempt) (exchange.Response, attempt.Evidence)
 }
 
 // Attempt is one request to one slot of one server.
@@ -38,20 +39,6 @@
 	Deadline time.Time
 }
 
-// Evidence is what an attempt showed.
-type Evidence struct {
-	// Written reports that a byte of the request may have reached the server.
-	Written bool
-	// Complete reports that the whole response was read.
-	Complete bool
-	// Refused reports that the server refused the connection.
-	Refused  bool
-	TimedOut bool
-	Canceled bool
-	// Draining reports that the server announced that it leaves.
-	Draining bool
-}
-
 // Peers carries requests to other instances. Delivered is false if the peer
 // provably did not get the request.
 type Peers interface {
--- a/core/traffic/run.go
+++ b/core/traffic/run.go
@@ -4,97 +4,67 @@
 	"context"
 	"time"
 
+	"galenaridge/core/attempt"
 	"galenaridge/core/control"
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
 	"galenaridge/core/member"
-	"galenaridge/core/retry"
 )
 
-// trial is what is known after one or more attempts.
-type trial struct {
-	response exchange.Response
-	// made counts the attempts on servers.
-	made int
-	// written reports that a server may have got the request.
-	written bool
-}
-
-// then returns what is known after a further trial. Once a server may have got
-// the request, the refusal of a later trial must not say that it was not run.
-func (t trial) then(next trial) trial {
-	response := next.response
-	if t.written && response.Outcome == fleet.NotRun {
-		response = t.response
-	}
-	return trial{
-		response: response,
-		made:     t.made + next.made,
-		written:  t.written || next.written,
-	}
-}
-
 // run tries owners of the service until one answers, as far as retries are
 // allowed. The context ends at the deadline of the request.
 func (e *Engine) run(ctx context.Context, request exchange.Request) exchange.Response {
 	var tried []fleet.InstanceID
-	all := trial{response: exchange.Refuse(exchange.NoCapacity, "no owner of the service can be reached")}
+	all := attempt.Trail{Response: exchange.Refuse(exchange.NoCapacity, "no owner of the service can be reached")}
 	for i := range maxTargets {
 		view := e.options.Control.View()
 		service := view.Services[request.Service]
 		if service == nil {
-			return all.then(trial{response: exchange.Refuse(exchange.NoService, "service is not configured")}).response
+			return all.Then(refused(exchange.NoService, "service is not configured")).Response
 		}
 		if i == 0 {
 			service.Budget.Earn()
 		}
 		target, found := e.choose(view, service, tried)
 		if !found {
-			return all.response
+			return all.Response
 		}
 		tried = append(tried, target.Member.ID)
 		t := e.try(ctx, view, target, request)
-		all = all.then(t)
-		if ctx.Err() != nil || !e.again(service, request, t, all.made) {
-			return all.response
+		all = all.Then(t)
+		if ctx.Err() != nil || !e.again(service, request, t, all) {
+			return all.Response
 		}
 	}
-	return all.response
+	return all.Response
 }
 
-// again decides whether another owner should be tried.
-func (e *Engine) again(service *control.Service, request exchange.Request, t trial, made int) bool {
-	if t.made == 0 {
-		return e.free(request, t)
+// refused returns the trail of a request that was refused before an attempt.
+func refused(code exchange.Code, message string) attempt.Trail {
+	return attempt.Trail{Response: exchange.Refuse(code, message)}
+}
+
+// again decides whether another owner should be tried after the last one.
+func (e *Engine) again(service *control.Service, request exchange.Request, last, all attempt.Trail) bool {
+	if last.Made == 0 {
+		return e.free(request, last)
 	}
-	return e.retry(service, request, t, made)
+	return e.retry(service, request, all)
 }
 
 // free decides about another attempt after one that reached no server. It adds
 // no load to the service and so costs no token of the budget.
-func (e *Engine) free(request exchange.Request, t trial) bool {
-	return e.options.Clock.Now().Before(request.Deadline) && t.response.Code != exchange.BadRequest
+func (e *Engine) free(request exchange.Request, last attempt.Trail) bool {
+	return e.options.Clock.Now().Before(request.Deadline) && last.Response.Code != exchange.BadRequest
 }
 
 // retry decides about another attempt after one on a server.
-func (e *Engine) retry(service *control.Service, request exchange.Request, t trial, made int) bool {
-	decision := retry.Decide(retry.Attempt{
-		Answered:   answered(request, t.response),
+func (e *Engine) retry(service *control.Service, request exchange.Request, all attempt.Trail) bool {
+	return all.Again(attempt.Rules{
 		Idempotent: !request.Protected,
-		Written:    t.written,
-		Made:       made,
 		Left:       request.Deadline.Sub(e.options.Clock.Now()),
 		Expected:   service.Health.Median(),
-	})
-	return decision == retry.Again && service.Budget.Spend()
-}
-
-// answered reports whether the response is one to pass on.
-func answered(request exchange.Request, response exchange.Response) bool {
-	if response.Refused() {
-		return false
-	}
-	return request.Protected || response.Status < 500
+	}) && service.Budget.Spend()
 }
 
 // choose picks the instance to carry out the request: this one if it has a free
@@ -185,7 +155,7 @@
 }
 
 // try lets one owner carry out the request.
-func (e *Engine) try(ctx context.Context, view *control.View, target control.Owner, request exchange.Request) trial {
+func (e *Engine) try(ctx context.Context, view *control.View, target control.Owner, request exchange.Request) attempt.Trail {
 	if target.Member == view.Members.Self().Member {
 		return e.runLocal(ctx, request)
 	}
@@ -199,17 +169,17 @@
 		if ctx.Err() == nil {
 			e.loads.avoid(request.Service, target.Member.ID, now.Add(avoidFor))
 		}
-		return trial{response: exchange.Refuse(exchange.NoCapacity, "the owner cannot be reached")}
+		return refused(exchange.NoCapacity, "the owner cannot be reached")
 	}
 	if response.Outcome == fleet.NotRun {
 		e.loads.report(request.Service, target.Member.ID, response.Load, now)
-		return trial{response: response}
+		return attempt.Trail{Response: response}
 	}
 	if response.Load.Slots > 0 {
 		// A reply that was lost carries no load.
 		e.loads.report(request.Service, target.Member.ID, response.Load, now)
 	}
-	return trial{response: response, made: 1, written: true}
+	return attempt.Trail{Response: response, Made: 1, Ran: true}
 }
 
 // Execute carries out a request of another instance on the servers that this
@@ -217,7 +187,7 @@
 func (e *Engine) Execute(ctx context.Context, request exchange.Request) exchange.Response {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	response := e.runLocal(ctx, request).response
+	response := e.runLocal(ctx, request).Response
 	if service := e.options.Control.View().Services[request.Service]; service != nil {
 		response.Load = service.Pool.Load()
 	}
--- a/core/traffic/serve_test.go
+++ b/core/traffic/serve_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"galenaridge/core/attempt"
 	"galenaridge/core/config"
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
@@ -35,7 +36,7 @@
 func TestOnce(t *testing.T) {
 	tests := []struct {
 		name   string
-		send   func(traffic.Attempt) (exchange.Response, traffic.Evidence)
+		send   func(traffic.Attempt) (exchange.Response, attempt.Evidence)
 		first  fleet.Outcome
 		second fleet.Outcome
 		code   exchange.Code
@@ -151,10 +152,10 @@
 func TestDuplicate(t *testing.T) {
 	f := start(t, []fleet.ServerID{"1"})
 	entered, proceed := make(chan struct{}), make(chan struct{})
-	f.send = func(attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	f.send = func(a traffic.Attempt) (exchange.Response, attempt.Evidence) {
 		close(entered)
 		<-proceed
-		return succeed(attempt)
+		return succeed(a)
 	}
 	token := f.mint(t)
 	request := f.request("POST")
@@ -181,7 +182,7 @@
 // taken, or a later copy that starts the request again.
 func TestPanic(t *testing.T) {
 	f := start(t, []fleet.ServerID{"1"})
-	f.send = func(traffic.Attempt) (exchange.Response, traffic.Evidence) { panic("sender fault") }
+	f.send = func(traffic.Attempt) (exchange.Response, attempt.Evidence) { panic("sender fault") }
 	token := f.mint(t)
 	assert.Panics(t, func() { f.keyed(token, "k") })
 	f.send = succeed
@@ -198,7 +199,7 @@
 // treats as idempotent because the sender has an older configuration.
 func TestSubmit(t *testing.T) {
 	f := start(t, []fleet.ServerID{"1", "2"})
-	f.send = func(traffic.Attempt) (exchange.Response, traffic.Evidence) {
+	f.send = func(traffic.Attempt) (exchange.Response, attempt.Evidence) {
 		assert.Equal(t, 1, f.engine.InFlight())
 		return lost(traffic.Attempt{})
 	}
--- a/io/process/adapters.go
+++ b/io/process/adapters.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"galenaridge/core/attempt"
 	"galenaridge/core/config"
 	"galenaridge/core/control"
 	"galenaridge/core/exchange"
@@ -39,15 +40,15 @@
 func (p permission) MayWrite() bool { return p() }
 
 // Send implements traffic.Sender.
-func (s sender) Send(ctx context.Context, attempt traffic.Attempt) (exchange.Response, traffic.Evidence) {
+func (s sender) Send(ctx context.Context, a traffic.Attempt) (exchange.Response, attempt.Evidence) {
 	response, evidence := s.client.Do(ctx, upstream.Attempt{
-		Server:     attempt.Server,
-		Slot:       attempt.Slot,
-		Request:    attempt.Request,
-		Permission: permission(attempt.MayWrite),
-		Deadline:   attempt.Deadline,
+		Server:     a.Server,
+		Slot:       a.Slot,
+		Request:    a.Request,
+		Permission: permission(a.MayWrite),
+		Deadline:   a.Deadline,
 	})
-	return response, traffic.Evidence{
+	return response, attempt.Evidence{
 		Written:  evidence.Progress != upstream.Unwritten,
 		Complete: evidence.Progress == upstream.Complete,
 		Refused:  evidence.Refused,
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"galenaridge/core/attempt"
 	"galenaridge/core/dispatch"
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
@@ -71,9 +72,9 @@
 }
 
 // Send implements dispatch.Sender.
-func (p *Pool) Send(ctx context.Context, attempt dispatch.Attempt) (exchange.Response, dispatch.Evidence) {
-	var evidence dispatch.Evidence
-	response, err := p.send(ctx, attempt, &evidence)
+func (p *Pool) Send(ctx context.Context, request dispatch.Attempt) (exchange.Response, attempt.Evidence) {
+	var evidence attempt.Evidence
+	response, err := p.send(ctx, request, &evidence)
 	if err == nil {
 		return response, evidence
 	}
@@ -90,24 +91,24 @@
 	return refusal(err.Fault, progress), evidence
 }
 
-func (p *Pool) send(ctx context.Context, attempt dispatch.Attempt, evidence *dispatch.Evidence) (exchange.Response, *Error) {
+func (p *Pool) send(ctx context.Context, request dispatch.Attempt, evidence *attempt.Evidence) (exchange.Response, *Error) {
 	var none exchange.Response
-	c, reused := p.take(attempt.Server.Incarnation)
+	c, reused := p.take(request.Server.Incarnation)
 	if c == nil {
-		dialed, err := p.dial(ctx, attempt.Server, attempt.Deadline)
+		dialed, err := p.dial(ctx, request.Server, request.Deadline)
 		if err != nil {
 			return none, err
 		}
 		c = dialed
 	}
 	stop := context.AfterFunc(ctx, c.close)
-	t := &trip{conn: c, attempt: attempt, options: p.options, reused: reused, evidence: evidence}
+	t := &trip{conn: c, attempt: request, options: p.options, reused: reused, evidence: evidence}
 	response, err := t.run(ctx)
 	if !stop() || (err != nil && !evidence.Declined) || t.spoiled {
 		c.close()
 		return response, err
 	}
-	p.put(attempt.Server.Incarnation, c)
+	p.put(request.Server.Incarnation, c)
 	return response, err
 }
 
--- a/io/upstream/trip.go
+++ b/io/upstream/trip.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"galenaridge/core/attempt"
 	"galenaridge/core/dispatch"
 	"galenaridge/core/exchange"
 	"galenaridge/io/http1"
@@ -31,7 +32,7 @@
 	attempt  dispatch.Attempt
 	options  PoolOptions
 	reused   bool
-	evidence *dispatch.Evidence
+	evidence *attempt.Evidence
 	// spoiled says that the connection must not carry another request.
 	spoiled bool
 }
