Send beats to other failure domains only where they are used

Active and standby instances sent beats to all instances of other failure domains each 0.4 s, and idle ones to all each 15 s, which grows with the square. Change: across failure domains active and standby instances hear each other each 0.4 s, idle ones hear from them each 2 s and send to them each 15 s, and idle ones do not talk to each other.

--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -25,6 +25,7 @@
 	nearAt  time.Time
 	greetAt time.Time
 	farAt   time.Time
+	restAt  time.Time
 }
 
 // New returns a state that knows only this instance.
@@ -128,67 +129,71 @@
 	To   []fleet.Address
 }
 
-// Due returns the beats to send. Instances of other failure domains get them less
-// often, since bytes between failure domains are paid for; they matter there only
-// when a whole failure domain has no instance left.
+// Due returns the beats to send. Bytes between failure domains are paid for, and
+// most pairs of instances are in different ones. So only those in use, the active
+// and the standby ones, hear each other often across them; idle instances hear from
+// them now and then, and never from each other.
 func (s *State) Due(now time.Time, urgent bool) []Sending {
-	near, far := slowEvery, slowFarEvery
 	lonely := s.view.live == 0
 	greeting := lonely || now.Sub(s.options.Start) < greetTime
-	if s.view.place != Idle || s.self.Leaving || lonely {
+	near, far := slowEvery, slowFarEvery
+	used := s.view.place != Idle || s.self.Leaving || lonely
+	if used {
 		near, far = fastEvery, fastFarEvery
 	}
-	nearDue := urgent || now.Sub(s.nearAt) >= near
-	farDue := urgent || now.Sub(s.farAt) >= far
-	greetDue := greeting && now.Sub(s.greetAt) >= fastEvery
-	if !nearDue && !farDue && !greetDue {
-		return nil
-	}
 	beat := s.self
 	beat.Uptime = now.Sub(s.options.Start)
-	beat.Asks = lonely
 	var due []Sending
-	if nearDue {
-		s.nearAt = now
-		beat.Every = near
-		due = append(due, Sending{Beat: beat, To: s.near()})
-	}
-	if greetDue {
-		s.greetAt = now
-		asking := beat
-		asking.Asks = true
-		asking.Every = near
-		due = append(due, Sending{Beat: asking, To: s.greeted()})
-	}
-	if farDue {
-		s.farAt = now
-		beat.Every = far
-		beat.Asks = false
-		to := s.far()
-		if !greeting {
-			to = append(to, s.unheard()...)
+	send := func(last *time.Time, every time.Duration, urgent, asks bool, to func() []fleet.Address) {
+		if !urgent && now.Sub(*last) < every {
+			return
+		}
+		*last = now
+		sending := Sending{Beat: beat, To: to()}
+		sending.Beat.Every, sending.Beat.Asks = every, asks
+		due = append(due, sending)
+	}
+	send(&s.nearAt, near, urgent, lonely, s.near)
+	if greeting {
+		send(&s.greetAt, fastEvery, false, true, s.greeted)
+	}
+	send(&s.farAt, far, urgent, false, func() []fleet.Address {
+		if used || greeting {
+			return s.farUsed()
 		}
-		due = append(due, Sending{Beat: beat, To: to})
+		return append(s.farUsed(), s.unheard(maxGreeted)...)
+	})
+	if used {
+		send(&s.restAt, restFarEvery, urgent, false, func() []fleet.Address {
+			if greeting {
+				return s.farRest()
+			}
+			return append(s.farRest(), s.unheard(maxContacts)...)
+		})
 	}
 	return due
 }
 
 // near returns the addresses of the others in the own failure domain.
 func (s *State) near() []fleet.Address {
-	var addresses []fleet.Address
-	for _, p := range s.peers {
-		if p.beat.Domain == s.self.Domain {
-			addresses = append(addresses, p.beat.Peer)
-		}
-	}
-	return addresses
+	return s.those(func(p *peer) bool { return p.beat.Domain == s.self.Domain })
+}
+
+// farUsed returns the addresses of those in use in other failure domains.
+func (s *State) farUsed() []fleet.Address {
+	return s.those(func(p *peer) bool { return p.beat.Domain != s.self.Domain && s.view.uses(p.beat.Member.ID) })
+}
+
+// farRest returns the addresses of the others in other failure domains.
+func (s *State) farRest() []fleet.Address {
+	return s.those(func(p *peer) bool { return p.beat.Domain != s.self.Domain && !s.view.uses(p.beat.Member.ID) })
 }
 
-// far returns the addresses of the others in other failure domains.
-func (s *State) far() []fleet.Address {
+// those returns the addresses of the peers for which a condition holds.
+func (s *State) those(holds func(p *peer) bool) []fleet.Address {
 	var addresses []fleet.Address
 	for _, p := range s.peers {
-		if p.beat.Domain != s.self.Domain {
+		if holds(p) {
 			addresses = append(addresses, p.beat.Peer)
 		}
 	}
@@ -196,22 +201,22 @@
 }
 
 // greeted returns a few addresses to ask for contacts: first those that were not
-// heard, which are in no order, and else any. Each answer names many, so a bounded
-// number is enough, whatever the fleet's size.
+// heard, and else any. Each answer names many, so a bounded number is enough,
+// whatever the fleet's size.
 func (s *State) greeted() []fleet.Address {
-	addresses := s.unheard()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses := s.unheard(maxGreeted)
 	for _, p := range s.peers {
 		if len(addresses) >= maxGreeted {
 			break
 		}
 		addresses = append(addresses, p.beat.Peer)
 	}
-	return addresses[:min(len(addresses), maxGreeted)]
+	return addresses
 }
 
-// unheard returns the addresses of seeds and contacts that were not heard.
-func (s *State) unheard() []fleet.Address {
+// unheard returns the addresses of some seeds and contacts that were not heard, in
+// random order.
+func (s *State) unheard(most int) []fleet.Address {
 	known := make(map[fleet.Address]bool, len(s.peers))
 	for _, p := range s.peers {
 		known[p.beat.Peer] = true
@@ -222,7 +227,8 @@
 			addresses = append(addresses, seed)
 		}
 	}
-	return addresses
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), most)]
 }
 
 // Introduce returns the beat that answers a request for contacts.
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -52,12 +52,22 @@
 	// slowEvery that of idle ones.
 	fastEvery = 200 * time.Millisecond
 	slowEvery = time.Second
-	// fastFarEvery and slowFarEvery are those to other failure domains.
+	// fastFarEvery and slowFarEvery are those to active and standby instances of
+	// other failure domains, restFarEvery that of active and standby ones to idle
+	// ones there, whose directories name them if their own failure domain is lost.
 	fastFarEvery = 400 * time.Millisecond
 	slowFarEvery = 15 * time.Second
+	restFarEvery = 2 * time.Second
+	// farFresh is how long an instance of another failure domain is taken to be
+	// active without a beat. Those in use send more often, and idle ones need not
+	// be named from elsewhere.
+	farFresh = 2*restFarEvery + 500*time.Millisecond
 	// silentBeats is the number of missing beats after which an instance counts
 	// as gone; single datagrams are lost now and then.
 	silentBeats = 4
+	// silentRareBeats is that for intervals beyond slowEvery, where each beat is a
+	// long wait.
+	silentRareBeats = 2
 	// silentSlack covers the delay of the network and of timers.
 	silentSlack = 100 * time.Millisecond
 	// forgetAfter is how long a silent instance is still sent beats, so that it
@@ -103,5 +113,9 @@
 
 // live reports whether the peer was heard lately.
 func (p *peer) live(now time.Time) bool {
-	return now.Sub(p.heardAt) <= silentBeats*p.beat.Every+silentSlack
+	missing := time.Duration(silentBeats)
+	if p.beat.Every > slowEvery {
+		missing = silentRareBeats
+	}
+	return now.Sub(p.heardAt) <= missing*p.beat.Every+silentSlack
 }
--- a/core/workset/order.go
+++ b/core/workset/order.go
@@ -19,7 +19,7 @@
 
 // order computes the view.
 func (s *State) order(now time.Time) *View {
-	v := &View{domains: make(map[fleet.Domain][]Beat), place: Idle}
+	v := &View{domains: make(map[fleet.Domain][]Beat), used: make(map[fleet.InstanceID]bool), place: Idle}
 	byDomain := make(map[fleet.Domain][]candidate)
 	rates := make(map[fleet.Domain]float64)
 	freshest := forgetAfter
@@ -41,6 +41,9 @@
 		if p.live(now) {
 			v.live++
 			since := now.Sub(p.heardAt)
+			if p.beat.Domain != s.self.Domain && since > farFresh {
+				continue
+			}
 			beat := p.beat
 			beat.Age += since
 			add(beat, beat.Uptime+since)
@@ -105,11 +108,15 @@
 		if active {
 			need -= c.beat.Cores
 			v.domains[domain] = append(v.domains[domain], c.beat)
+			v.used[c.beat.Member.ID] = true
 			continue
 		}
 		if v.standby == nil {
 			v.standby = make(map[fleet.Domain]bool)
 		}
+		if !v.standby[domain] {
+			v.used[c.beat.Member.ID] = true
+		}
 		v.standby[domain] = true
 	}
 }
--- a/core/workset/queries.go
+++ b/core/workset/queries.go
@@ -25,10 +25,12 @@
 	// domains holds the active instances of each failure domain.
 	domains map[fleet.Domain][]Beat
 	standby map[fleet.Domain]bool
-	place   Place
-	rank    int
-	reader  bool
-	live    int
+	// used holds the active and the standby instances.
+	used   map[fleet.InstanceID]bool
+	place  Place
+	rank   int
+	reader bool
+	live   int
 }
 
 // View returns the order as of the last Publish. It is never nil.
@@ -47,6 +49,9 @@
 // Live returns the number of other instances that are live.
 func (v *View) Live() int { return v.live }
 
+// uses reports whether an instance is active or stands by.
+func (v *View) uses(id fleet.InstanceID) bool { return v.used[id] }
+
 // ActiveCount returns the number of active instances.
 func (v *View) ActiveCount() int {
 	count := 0
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -282,6 +282,82 @@
 	}
 }
 
+// TestFarBeatsGrowWithTheFleet guards against bytes between failure domains that
+// grow with the square of the fleet.
+func TestFarBeatsGrowWithTheFleet(t *testing.T) {
+	const long = 20 * time.Second
+	count := func(instances int) int {
+		var beats []Beat
+		domains := make(map[fleet.Address]fleet.Domain)
+		for i := range instances {
+			beat := beatOf(fmt.Sprintf("i%03d", i), fleet.Domain(rune('a'+i%3)))
+			beats = append(beats, beat)
+			domains[beat.Peer] = beat.Domain
+		}
+		far := 0
+		for _, s := range newFleet(begin, beats...) {
+			for at := time.Duration(0); at < long; at += fastEvery / 2 {
+				for _, sending := range s.Due(begin.Add(at), false) {
+					for _, to := range sending.To {
+						if domains[to] != s.self.Domain {
+							far++
+						}
+					}
+				}
+			}
+		}
+		return far
+	}
+	small, large := count(100), count(400)
+	require.Positive(t, small)
+	require.LessOrEqual(t, float64(large), 4.4*float64(small), "%d beats of 100 instances, %d of 400", small, large)
+}
+
+// TestIdleInstancesHearOfOthers guards against directories that name nobody when
+// their own failure domain is lost.
+func TestIdleInstancesHearOfOthers(t *testing.T) {
+	const count = 30
+	states := make(map[fleet.Address]*State, count)
+	for i := range count {
+		self := beatOf(fmt.Sprintf("n%02d", i), fleet.Domain(rune('a'+i%3)))
+		states[self.Peer] = New(Options{Self: self, Start: begin, Seeds: []fleet.Address{"n00:1", "n01:1"}})
+	}
+	deliver := func(now time.Time, lost fleet.Domain) {
+		for _, s := range states {
+			if s.self.Domain == lost {
+				continue
+			}
+			s.Publish(now)
+			for _, sending := range s.Due(now, false) {
+				for _, to := range sending.To {
+					if receiver := states[to]; receiver.self.Domain != lost {
+						if reply, _ := receiver.Heard(now, sending.Beat); reply != "" {
+							s.Heard(now, receiver.Introduce(now))
+						}
+					}
+				}
+			}
+		}
+	}
+	now := begin
+	for ; now.Before(begin.Add(20 * time.Second)); now = now.Add(fastEvery / 2) {
+		deliver(now, "")
+	}
+	for until := now.Add(6 * time.Second); now.Before(until); now = now.Add(fastEvery / 2) {
+		deliver(now, "a")
+	}
+	for address, s := range states {
+		if s.self.Domain == "a" {
+			continue
+		}
+		named := s.View().Active("a")
+		require.NotEmpty(t, named, "%s names nobody", address)
+		for _, beat := range named {
+			require.NotEqual(t, fleet.Domain("a"), beat.Domain, "%s names an instance that is gone", address)
+		}
+	}
+}
+
 // TestLateDatagram guards against a datagram of an earlier process that replaces
 // what its successor said.
 func TestLateDatagram(t *testing.T) {
