--- a/standin/cmd/link/main.go
+++ b/standin/cmd/link/main.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
@@ -15,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"galenaridge/core/fleet"
+	"galenaridge/standin/daemon"
 	"galenaridge/standin/jsontime"
 	"galenaridge/standin/link"
 )
@@ -22,28 +21,18 @@
 func main() {
 	// The proxy library logs each connection with the standard logger.
 	logrus.SetOutput(io.Discard)
-	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	command := &cli.Command{
-		Name:  "link",
-		Usage: "stand-in for links between failure domains",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "file", Usage: "JSON list of links; replaces name, listen, target, delay and jitter"},
-			&cli.StringFlag{Name: "control", Value: "127.0.0.1:0", Usage: "address for control requests"},
-			&cli.StringFlag{Name: "name", Value: "link-1", Usage: "name of the link"},
-			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address to accept connections at"},
-			&cli.StringFlag{Name: "target", Usage: "address to connect to"},
-			&cli.DurationFlag{Name: "delay", Usage: "time one way"},
-			&cli.DurationFlag{Name: "jitter", Usage: "largest deviation from the delay"},
-		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			return run(ctx, c, logger)
-		},
-	}
-	if err := command.Run(ctx, os.Args); err != nil {
-		logger.WithError(err).Fatal("cannot serve")
+	daemon.Main("link", "stand-in for links between failure domains", flags(), run)
+}
+
+func flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "file", Usage: "JSON list of links; replaces name, listen, target, delay and jitter"},
+		&cli.StringFlag{Name: "control", Value: "127.0.0.1:0", Usage: "address for control requests"},
+		&cli.StringFlag{Name: "name", Value: "link-1", Usage: "name of the link"},
+		&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address to accept connections at"},
+		&cli.StringFlag{Name: "target", Usage: "address to connect to"},
+		&cli.DurationFlag{Name: "delay", Usage: "time one way"},
+		&cli.DurationFlag{Name: "jitter", Usage: "largest deviation from the delay"},
 	}
 }
 
--- a/standin/cmd/server/main.go
+++ b/standin/cmd/server/main.go
@@ -5,8 +5,6 @@
 	"context"
 	"encoding/json"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
@@ -14,26 +12,13 @@
 	"github.com/urfave/cli/v3"
 
 	"galenaridge/core/fleet"
+	"galenaridge/standin/daemon"
 	"galenaridge/standin/jsontime"
 	"galenaridge/standin/server"
 )
 
 func main() {
-	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	command := &cli.Command{
-		Name:  "server",
-		Usage: "stand-in for servers of an upstream service",
-		Flags: flags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			return run(ctx, c, logger)
-		},
-	}
-	if err := command.Run(ctx, os.Args); err != nil {
-		logger.WithError(err).Fatal("cannot serve")
-	}
+	daemon.Main("server", "stand-in for servers of an upstream service", flags(), run)
 }
 
 func flags() []cli.Flag {
--- /dev/null
+++ b/standin/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon starts and stops the programs of stand-ins.
+package daemon
