Let new instances take the copy of others before they read the store

Change: a new instance waits 0.1 s to hear of others. If one has a copy it waits up to 0.7 s for it, else it reads the store. When all start for the first time, which the settings say, the reader of each failure domain reads and the others copy. A request waits 0.25 s for the first configuration in place of 0.1 s.

--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -117,7 +117,7 @@
 	refusalPause = 150 * time.Millisecond
 	// loadWait is how long a request waits for the first configuration of an
 	// instance that has just started.
-	loadWait = 100 * time.Millisecond
+	loadWait = 250 * time.Millisecond
 	// notReadyPause is when a caller may come back to an instance that has no
 	// configuration yet.
 	notReadyPause = 300 * time.Millisecond
--- a/core/gateway/copy.go
+++ b/core/gateway/copy.go
@@ -59,6 +59,7 @@
 	if !beat.Ready {
 		return
 	}
+	s.copies = true
 	s.newest = max(s.newest, beat.Revision)
 	switch {
 	case s.newest <= s.revision:
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -262,6 +262,49 @@
 	}
 }
 
+// TestFirstListing guards against a listing of the store by each instance that
+// starts, and against an instance that waits for copies which do not come.
+func TestFirstListing(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  bool
+		peer   bool
+		copies bool
+		uptime time.Duration
+		want   bool
+	}{
+		{"at once", false, false, false, 0, false},
+		{"nobody is there", false, false, false, 100 * time.Millisecond, true},
+		{"others have no copy either", false, true, false, 100 * time.Millisecond, true},
+		{"others have a copy", false, true, true, 500 * time.Millisecond, false},
+		{"their copy does not come", false, true, true, 700 * time.Millisecond, true},
+		{"the first start", true, true, false, 500 * time.Millisecond, false},
+		{"the first start, not the reader", true, true, false, 2 * time.Second, false},
+		{"the first start, the reader brings nothing", true, true, false, 2500 * time.Millisecond, true},
+		{"the first start, the reader", true, false, false, time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, r, clock := newTestLoop()
+			l.state.options.First = test.first
+			larger := peerBeat("a-2", "a", 10, 0)
+			larger.Cores, larger.Ready = 2, test.copies
+			for at := time.Duration(0); ; at += tickEvery {
+				if test.peer {
+					l.Heard(larger)
+					apply(l)
+				}
+				l.state.tick()
+				if at >= test.uptime {
+					break
+				}
+				clock.Advance(tickEvery)
+			}
+			require.Equal(t, test.want, r.watching)
+		})
+	}
+}
+
 // TestOneReader guards against calls to the store by each of several active
 // instances of a failure domain, and against none when the copy ages.
 func TestOneReader(t *testing.T) {
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -44,11 +44,14 @@
 	newest      fleet.Revision
 	behindSince time.Time
 	confirmedAt time.Time
-	stopping    bool
-	lag         lag
-	rate        float64
-	started     int64
-	watching    bool
+	startedAt   time.Time
+	// copies says that another instance has a copy of the store.
+	copies   bool
+	stopping bool
+	lag      lag
+	rate     float64
+	started  int64
+	watching bool
 	// activeAt is when this instance got its place.
 	activeAt time.Time
 	// helpUntil is until when an instance that is not active reads the store.
@@ -74,6 +77,8 @@
 		pools:  make(map[fleet.ServiceName]*dispatch.Upstream),
 		usable: make(map[registry.Incarnation]fleet.ServiceName),
 		ticked: options.Clock.Now(),
+
+		startedAt: options.Clock.Now(),
 	}
 	l.publish()
 	return l
@@ -86,8 +91,6 @@
 func (l *Loop) Run(ctx context.Context) {
 	ticks, stop := l.options.Clock.NewTicker(tickEvery)
 	defer stop()
-	// The first listing is read at once, since callers may be waiting already.
-	l.state.place(l.options.Clock.Now())
 	for {
 		select {
 		case <-ctx.Done():
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -68,8 +68,10 @@
 
 // Options set up a Loop.
 type Options struct {
-	Self    workset.Beat
-	Seeds   []fleet.Address
+	Self  workset.Beat
+	Seeds []fleet.Address
+	// First says that the whole fleet starts for the first time.
+	First   bool
 	Clock   Clock
 	Peers   Peers
 	Watch   Watch
@@ -92,6 +94,15 @@
 	firstHelpers = 1
 	lastHelpers  = 3
 	helpPause    = 400 * time.Millisecond
+	// meetWait is how long a new instance waits to hear of others. Callers may be
+	// waiting already, and an answer of a seed takes about 10 ms.
+	meetWait = 100 * time.Millisecond
+	// copyWait is how long it waits for a copy of another instance.
+	copyWait = 700 * time.Millisecond
+	// meetAllWait is how long instances that start for the first time wait until
+	// all have met, and firstWait how long they wait for the copy of the reader.
+	meetAllWait = time.Second
+	firstWait   = 2500 * time.Millisecond
 	// helpFor is how long they go on.
 	helpFor = 10 * time.Second
 	// queueSize bounds the commands that wait.
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -68,8 +68,11 @@
 // current. When the copy ages all the same, other active instances and the next
 // ones in rank read it as well.
 func (s *state) mustWatch(now time.Time) bool {
+	if s.revision == 0 {
+		return s.mustList(now)
+	}
 	view := s.working.View()
-	if s.revision == 0 || view.Reader() && view.Place() == workset.Active {
+	if view.Reader() && view.Place() == workset.Active {
 		return true
 	}
 	age := s.age(now)
@@ -81,6 +84,21 @@
 	return now.Before(s.helpUntil)
 }
 
+// mustList reports whether this instance, which has no copy yet, reads the store.
+// While others have a copy it waits for theirs, since a listing is many calls. When
+// all start for the first time, one instance of each failure domain reads.
+func (s *state) mustList(now time.Time) bool {
+	uptime := now.Sub(s.startedAt)
+	switch {
+	case s.options.First:
+		return uptime >= firstWait || uptime >= meetAllWait && s.working.View().Reader()
+	case s.copies:
+		return uptime >= copyWait
+	default:
+		return uptime >= meetWait
+	}
+}
+
 // watch starts or ends the reading of the store.
 func (s *state) watch(on bool) {
 	on = on || (s.stopping && s.watching)
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -136,6 +136,7 @@
 			Cores:  workset.Effective(s.Capacity.Cores, s.Capacity.LinkMbps),
 		},
 		Seeds:   s.Seeds,
+		First:   s.First,
 		Clock:   p.clock,
 		Peers:   p.link,
 		Watch:   p.follower,
--- a/io/setting/gateway.go
+++ b/io/setting/gateway.go
@@ -19,7 +19,10 @@
 	// stale, and the own one may be among them.
 	Seeds []fleet.Address
 	// Store is the address of the platform's metadata store.
-	Store    fleet.Address
+	Store fleet.Address
+	// First says that the whole fleet starts for the first time, when callers are
+	// not there yet.
+	First    bool
 	Bounds   Bounds
 	Capacity Capacity
 }
