Open connections to servers in one place

The client of the product's own interface and the pool of the platform each dialed and told apart the failures of dialing. The pool calls a connection that did not open before the deadline timed out now, as the client does; both say that nothing was written.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -119,31 +118,18 @@
 	return conn, nil
 }
 
-// dial opens a connection before the deadline and the limit for connecting.
+// dial opens a connection to an address or to the one that stands for it.
 func (c *Client) dial(ctx context.Context, address fleet.Address, deadline time.Time) (*conn, *Error) {
 	if via, ok := c.options.Via[address]; ok {
 		address = via
 	}
-	now := c.options.Clock.Now()
-	if !now.Before(deadline) {
-		return nil, &Error{Fault: TimedOut}
-	}
-	limit := now.Add(c.options.Connect)
-	if deadline.Before(limit) {
-		limit = deadline
-	}
-	dialer := net.Dialer{Deadline: limit}
-	socket, err := dialer.DialContext(ctx, "tcp", string(address))
-	switch {
-	case err == nil:
-		return newConn(socket, c.options.Header), nil
-	case errors.Is(ctx.Err(), context.Canceled):
-		return nil, &Error{Fault: Canceled, cause: err}
-	case !c.options.Clock.Now().Before(deadline), ctx.Err() != nil:
-		return nil, &Error{Fault: TimedOut, cause: err}
-	default:
-		return nil, &Error{Fault: Unreachable, cause: err}
-	}
+	return open(ctx, opening{
+		clock:    c.options.Clock,
+		address:  address,
+		within:   c.options.Connect,
+		deadline: deadline,
+		header:   c.options.Header,
+	})
 }
 
 // Probe sends GET /healthz on a connection of its own and returns the time
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
 	"galenaridge/io/http1"
 )
 
@@ -43,6 +44,38 @@
 	return c
 }
 
+// opening says how a connection is opened.
+type opening struct {
+	clock   fleet.Clock
+	address fleet.Address
+	// within bounds the opening, deadline is that of the attempt.
+	within   time.Duration
+	deadline time.Time
+	// header is the largest header of an answer in bytes.
+	header int
+	dialer net.Dialer
+}
+
+// open opens a connection before the deadline and the limit for connecting.
+func open(ctx context.Context, o opening) (*conn, *Error) {
+	now := o.clock.Now()
+	o.dialer.Deadline = fleet.Earlier(now.Add(o.within), o.deadline)
+	if !now.Before(o.deadline) {
+		return nil, &Error{Fault: TimedOut}
+	}
+	socket, err := o.dialer.DialContext(ctx, "tcp", string(o.address))
+	switch {
+	case err == nil:
+		return newConn(socket, o.header), nil
+	case errors.Is(ctx.Err(), context.Canceled):
+		return nil, &Error{Fault: Canceled, cause: err}
+	case !o.clock.Now().Before(o.deadline), ctx.Err() != nil:
+		return nil, &Error{Fault: TimedOut, cause: err}
+	default:
+		return nil, &Error{Fault: Unreachable, cause: err}
+	}
+}
+
 // Read reads from the socket and keeps its first error.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.socket.Read(p)
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -160,28 +159,24 @@
 	return true
 }
 
-// dial opens a connection before the deadline and the limit for connecting.
+// dial opens a connection to a server.
 func (p *Pool) dial(ctx context.Context, server registry.Server, deadline time.Time) (*conn, *Error) {
 	within := connectNear
 	if server.Domain != p.options.Domain {
 		within = connectFar
 	}
-	now := p.options.Clock.Now()
-	limit := fleet.Earlier(now.Add(within), deadline)
-	if !now.Before(limit) {
-		return nil, &Error{Fault: TimedOut}
-	}
-	dialer := net.Dialer{Deadline: limit, KeepAlive: -1, Control: boundUnacked}
-	socket, err := dialer.DialContext(ctx, "tcp4", string(server.Address))
-	switch {
-	case err == nil:
+	c, err := open(ctx, opening{
+		clock:    p.options.Clock,
+		address:  server.Address,
+		within:   within,
+		deadline: deadline,
+		header:   poolHeader,
+		dialer:   net.Dialer{KeepAlive: -1, Control: boundUnacked},
+	})
+	if err == nil {
 		p.count()
-		return newConn(socket, poolHeader), nil
-	case errors.Is(ctx.Err(), context.Canceled):
-		return nil, &Error{Fault: Canceled, cause: err}
-	default:
-		return nil, &Error{Fault: Unreachable, cause: err}
 	}
+	return c, err
 }
 
 func (p *Pool) count() {
