Tell other failure domains of their own servers only, where there are many

Change: where an instance knows more than one datagram of servers, active instances of other failure domains are told of the servers there only.

--- a/core/balance/share.go
+++ b/core/balance/share.go
@@ -25,6 +25,8 @@
 // Share is what an instance tells others about a server.
 type Share struct {
 	Key Key
+	// Domain is the failure domain of the server. It is not told: receivers know it.
+	Domain fleet.Domain
 	// Outstanding counts its requests without an answer.
 	Outstanding int
 	// Failing is the probability that the server fails.
@@ -73,7 +75,7 @@
 		if idle || !full && !changed {
 			continue
 		}
-		s.told = Share{Key: s.key, Outstanding: len(s.leases), Failing: failing, Age: now.Sub(at)}
+		s.told = Share{Key: s.key, Domain: s.info.Domain, Outstanding: len(s.leases), Failing: failing, Age: now.Sub(at)}
 		shares = append(shares, s.told)
 	}
 	return shares
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -33,11 +34,17 @@
 	gone     []fleet.ServerID
 	started  int64
 	slow     []bool
+	// told holds what each instance was told about servers.
+	told map[fleet.Address][]balance.Share
 }
 
 func (r *recorder) Send(workset.Beat, []fleet.Address) {}
-func (r *recorder) Tell(Report, []fleet.Address)       {}
-func (r *recorder) Enable(on bool)                     { r.watching = on }
+func (r *recorder) Tell(report Report, to []fleet.Address) {
+	for _, address := range to {
+		r.told[address] = append(r.told[address], report.Shares...)
+	}
+}
+func (r *recorder) Enable(on bool) { r.watching = on }
 func (r *recorder) Fetch(peer fleet.Address, _ fleet.Revision) {
 	r.fetched = append(r.fetched, peer)
 }
@@ -64,7 +71,7 @@
 // run by apply.
 func newTestLoop() (*Loop, *recorder, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
-	r := &recorder{}
+	r := &recorder{told: make(map[fleet.Address][]balance.Share)}
 	l := New(Options{
 		Self:    workset.Beat{Member: fleet.Member{ID: "a-1", Incarnation: 1}, Domain: "a", Peer: "10.0.0.1:1", Caller: "10.0.0.1:2", Cores: 1},
 		Clock:   testClock{clock},
@@ -335,6 +342,50 @@
 	}
 }
 
+// TestReports guards against reports between failure domains that grow with the
+// servers of all, and against instances that are not told of their own.
+func TestReports(t *testing.T) {
+	tests := []struct {
+		name    string
+		servers int
+		near    int
+		far     int
+	}{
+		{"few servers", 40, 40, 40},
+		{"many servers", 200, 200, 100},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, r, clock := newTestLoop()
+			var servers []registry.Server
+			for i := range test.servers {
+				server := testServer(fleet.ServerID(fmt.Sprintf("s%03d", i)), fleet.Live)
+				server.Domain = fleet.Domain(rune('a' + i%2))
+				servers = append(servers, server)
+			}
+			routes := &route.Document{Version: 1, Services: []route.Service{{Name: "s"}}}
+			l.Listed(follow.Listing{Revision: 10, Servers: servers, Routes: routes}, false)
+			near, far := peerBeat("a-2", "a", 10, 0), peerBeat("b-1", "b", 10, 0)
+			near.Rate = 10_000
+			clock.Advance(time.Second)
+			l.Heard(near)
+			l.Heard(far)
+			apply(l)
+			upstream, found := l.View().Upstream("s")
+			require.True(t, found)
+			var tried []registry.Incarnation
+			for range servers {
+				lease, refusal := upstream.Servers.Pick(clock.Now(), balance.Ask{Objective: time.Second, Left: time.Second, Exclude: tried})
+				require.Equal(t, balance.Chosen, refusal)
+				tried = append(tried, lease.Server.Incarnation)
+			}
+			l.state.tick()
+			require.Len(t, r.told["a-2"], test.near)
+			require.Len(t, r.told["b-1"], test.far)
+		})
+	}
+}
+
 // TestQuotaOfIdleInstances guards against repeats beyond the quota of the fleet:
 // requests that only probe idle instances must not use an allowance on each.
 func TestQuotaOfIdleInstances(t *testing.T) {
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -113,12 +113,15 @@
 // maxShares bounds one report, which is one datagram.
 const maxShares = 90
 
-// tell reports to the other active instances what this one knows of servers.
+// tell reports to the other active instances what this one knows of servers. Where
+// that is more than one datagram, instances of other failure domains are told of
+// the servers there only: they seldom use others, and bytes between failure domains
+// are paid for.
 func (s *state) tell(now time.Time) {
-	var to []fleet.Address
+	to := make(map[fleet.Domain][]fleet.Address)
 	for _, beat := range s.working.View().AllActive() {
 		if beat.Member.ID != s.options.Self.Member.ID {
-			to = append(to, beat.Peer)
+			to[beat.Domain] = append(to[beat.Domain], beat.Peer)
 		}
 	}
 	if len(to) == 0 {
@@ -128,6 +131,28 @@
 	for _, u := range s.pools {
 		shares = append(shares, u.Servers.Tell(now)...)
 	}
+	for domain, addresses := range to {
+		if domain == s.options.Self.Domain || len(shares) <= maxShares {
+			s.report(shares, addresses)
+			continue
+		}
+		s.report(sharesOf(shares, domain), addresses)
+	}
+}
+
+// sharesOf returns the shares about servers of a failure domain.
+func sharesOf(shares []balance.Share, domain fleet.Domain) []balance.Share {
+	var found []balance.Share
+	for _, share := range shares {
+		if share.Domain == domain {
+			found = append(found, share)
+		}
+	}
+	return found
+}
+
+// report sends shares in as many reports as they need.
+func (s *state) report(shares []balance.Share, to []fleet.Address) {
 	for len(shares) > 0 {
 		n := min(len(shares), maxShares)
 		s.options.Peers.Tell(Report{From: s.options.Self.Member, Shares: shares[:n]}, to)
