--- a/tests/integration/main_test.go
+++ b/tests/integration/main_test.go
@@ -19,8 +19,8 @@
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
-	// The library behind links reports each one at this level.
-	logrus.SetLevel(logrus.WarnLevel)
+	// The library behind links reports each one, and each connection that ends.
+	logrus.SetLevel(logrus.ErrorLevel)
 	var err error
 	if bin, err = os.MkdirTemp("", "integration-bin-"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
