State the next usual beat in greetings

Cause: since beats to other failure domains were split, a greeting stated the interval of greetings, 0.2 s, so an instance that had been greeted by an idle one took it for gone after 0.9 s, until its next beat.

--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -74,10 +74,9 @@
 			Start: options.Clock.Now(),
 			Seeds: options.Seeds,
 		}),
-		pools:  make(map[fleet.ServiceName]*dispatch.Upstream),
-		usable: make(map[registry.Incarnation]fleet.ServiceName),
-		ticked: options.Clock.Now(),
-
+		pools:     make(map[fleet.ServiceName]*dispatch.Upstream),
+		usable:    make(map[registry.Incarnation]fleet.ServiceName),
+		ticked:    options.Clock.Now(),
 		startedAt: options.Clock.Now(),
 	}
 	l.publish()
--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -141,30 +141,36 @@
 	if used {
 		near, far = fastEvery, fastFarEvery
 	}
-	beat := s.self
-	beat.Uptime = now.Sub(s.options.Start)
 	var due []Sending
-	send := func(last *time.Time, every time.Duration, urgent, asks bool, to func() []fleet.Address) {
-		if !urgent && now.Sub(*last) < every {
+	send := func(last *time.Time, after, every time.Duration, asks bool, to func() []fleet.Address) {
+		if now.Sub(*last) < after {
 			return
 		}
 		*last = now
-		sending := Sending{Beat: beat, To: to()}
-		sending.Beat.Every, sending.Beat.Asks = every, asks
-		due = append(due, sending)
+		beat := s.self
+		beat.Uptime = now.Sub(s.options.Start)
+		beat.Every, beat.Asks = every, asks
+		due = append(due, Sending{Beat: beat, To: to()})
+	}
+	pause := func(every time.Duration) time.Duration {
+		if urgent {
+			return 0
+		}
+		return every
 	}
-	send(&s.nearAt, near, urgent, lonely, s.near)
+	send(&s.nearAt, pause(near), near, lonely, s.near)
 	if greeting {
-		send(&s.greetAt, fastEvery, false, true, s.greeted)
+		// The next beat to those that are greeted is a usual one.
+		send(&s.greetAt, fastEvery, near, true, s.greeted)
 	}
-	send(&s.farAt, far, urgent, false, func() []fleet.Address {
+	send(&s.farAt, pause(far), far, false, func() []fleet.Address {
 		if used || greeting {
 			return s.farUsed()
 		}
 		return append(s.farUsed(), s.unheard(maxGreeted)...)
 	})
 	if used {
-		send(&s.restAt, restFarEvery, urgent, false, func() []fleet.Address {
+		send(&s.restAt, pause(restFarEvery), restFarEvery, false, func() []fleet.Address {
 			if greeting {
 				return s.farRest()
 			}
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -282,6 +282,30 @@
 	}
 }
 
+// TestGreetingsStateTheNextBeat guards against instances that take one that greeted
+// them for gone, since it stated a shorter interval than that of its beats.
+func TestGreetingsStateTheNextBeat(t *testing.T) {
+	self := beatOf("z", "a")
+	self.Cores = 0.5
+	s := New(Options{Self: self, Start: begin, Seeds: []fleet.Address{"seed:1"}})
+	for _, id := range []string{"x", "y"} {
+		s.Heard(begin, beatOf(id, "a"))
+	}
+	now := begin.Add(time.Second)
+	s.Heard(now, beatOf("x", "a"))
+	s.Heard(now, beatOf("y", "a"))
+	s.Publish(now)
+	require.Equal(t, Idle, s.View().Place())
+	greeted := false
+	for _, sending := range s.Due(now, false) {
+		if sending.Beat.Asks {
+			greeted = true
+			require.Equal(t, slowEvery, sending.Beat.Every)
+		}
+	}
+	require.True(t, greeted)
+}
+
 // TestFarBeatsGrowWithTheFleet guards against bytes between failure domains that
 // grow with the square of the fleet.
 func TestFarBeatsGrowWithTheFleet(t *testing.T) {
