Keep missing servers after an outage only if the store was away for all

Others had confirmed its copy all the time, so no entry had lapsed unseen. Ruled out: one reader in a failure domain; the rule applied to each instance that reads the store again. Change: servers are kept only if the copy was older than 2 s within the time for which they are kept. Figures: TestServersAfterTheOwnOutage failed before; TestServersAfterAnOutage now lets the store be away for 5 s, as its name says.

--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -36,7 +36,7 @@
 // replace takes a complete listing.
 func (s *state) replace(now time.Time, listing follow.Listing, outage bool) {
 	keepUntil := time.Time{}
-	if outage {
+	if outage && s.aged(now) {
 		keepUntil = now.Add(lapseGrace)
 	}
 	s.registry.Replace(listing.Servers, keepUntil)
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -89,6 +89,8 @@
 	l, r, clock := newTestLoop()
 	one, two := testServer("s1", fleet.Live), testServer("s2", fleet.Live)
 	l.Listed(follow.Listing{Revision: 10, Servers: []registry.Server{one, two}}, false)
+	apply(l)
+	clock.Advance(5 * time.Second)
 	l.Listed(follow.Listing{Revision: 20}, true)
 	apply(l)
 	require.True(t, l.View().Listed(one.Incarnation), "a lapsed server is kept at first")
@@ -102,6 +104,41 @@
 	require.Equal(t, []fleet.ServerID{"s2"}, r.gone)
 }
 
+// TestServersAfterTheOwnOutage guards against requests to a server that has left, by
+// an instance that the store turned away for a while: others had confirmed its copy,
+// so a server that is missing has not lapsed.
+func TestServersAfterTheOwnOutage(t *testing.T) {
+	tests := []struct {
+		name string
+		// until is how long others confirm the copy, of an outage of 5 s.
+		until time.Duration
+		want  bool
+	}{
+		{"the store was away for all", 0, true},
+		{"others lost it, too", 3 * time.Second, true},
+		{"only this instance was turned away", 5 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, _, clock := newTestLoop()
+			one := testServer("s1", fleet.Live)
+			l.Listed(follow.Listing{Revision: 10, Servers: []registry.Server{one}}, false)
+			apply(l)
+			for at := time.Duration(0); at < 5*time.Second; at += tickEvery {
+				clock.Advance(tickEvery)
+				if at < test.until {
+					l.Heard(peerBeat("a-2", "a", 10, tickEvery))
+					apply(l)
+				}
+				l.state.tick()
+			}
+			l.Listed(follow.Listing{Revision: 20}, true)
+			apply(l)
+			require.Equal(t, test.want, l.View().Listed(one.Incarnation))
+		})
+	}
+}
+
 // TestConfigurationNeverReverts guards against an older or invalid configuration
 // replacing the one in force.
 func TestConfigurationNeverReverts(t *testing.T) {
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -44,7 +44,9 @@
 	newest      fleet.Revision
 	behindSince time.Time
 	confirmedAt time.Time
-	startedAt   time.Time
+	// agedAt is when the copy was old last.
+	agedAt    time.Time
+	startedAt time.Time
 	// copies says that another instance has a copy of the store.
 	copies   bool
 	stopping bool
@@ -153,6 +155,7 @@
 		s.options.Events.Gone(id, true)
 	}
 	s.applyServers()
+	s.noteAge(now)
 	if s.lag.tick(now) {
 		s.options.Events.Slow(s.lag.slow, s.lag.mean)
 	}
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -112,6 +112,9 @@
 	// lapseGrace is how long a server that is missing after an outage of the
 	// store is kept. A live one renews its entry in about two seconds.
 	lapseGrace = 2200 * time.Millisecond
+	// agedAfter is the age from which the copy is old: the store has confirmed it to
+	// no instance for several watches.
+	agedAfter = 2 * time.Second
 	// distantAfter is how long the own copy must be behind before a peer of
 	// another failure domain is asked: bytes between them are paid for.
 	distantAfter = 400 * time.Millisecond
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -63,6 +63,21 @@
 	return now.Sub(s.confirmedAt)
 }
 
+// noteAge keeps when the copy was old last.
+func (s *state) noteAge(now time.Time) {
+	if s.age(now) > agedAfter {
+		s.agedAt = now
+	}
+}
+
+// aged reports whether the copy was old a short time ago. Then the store was away
+// for all, and servers may have lapsed meanwhile. While it turned away just this
+// instance, others confirmed the copy, and a server that is missing is gone.
+func (s *state) aged(now time.Time) bool {
+	s.noteAge(now)
+	return !s.agedAt.IsZero() && now.Sub(s.agedAt) <= lapseGrace
+}
+
 // mustWatch reports whether this instance reads the store. The first in rank that
 // the store answers does, and its beats keep all others of its failure domain
 // current. When the copy ages all the same, other active instances and the next
