Cover every server that may be sound while a service fails

Covering left out up to 0.15 of the servers that were expected to be sound. Change: none is left out. What other instances use still counts, the server that most likely is sound still comes first, and idempotent requests still begin sooner. The row of TestCover that asked for the slack is replaced by its opposite.

--- a/core/balance/cover.go
+++ b/core/balance/cover.go
@@ -20,10 +20,6 @@
 	// requests cover servers sooner, since they may be repeated.
 	coverEvery = 1600 * time.Millisecond
 	coverSoon  = 1200 * time.Millisecond
-	// coverSlack is the share of the servers that are expected to be sound which
-	// may be without a request. The floor allows 0.3; half of it is left for
-	// beliefs that are wrong.
-	coverSlack = 0.15
 	// coverSuspected is the time after its last failure after which a suspected
 	// server is covered too.
 	coverSuspected = 3 * time.Second
@@ -73,8 +69,9 @@
 }
 
 // cover returns the server that should get a request for the floor, if requests of
-// the service fail and too many servers that may be sound are without one: the one
-// that most likely is sound.
+// the service fail: of those that may be sound and are without one, that which most
+// likely is. None may be left out, since the floor counts servers that nothing has
+// disturbed, which may be few of those that work.
 func (p *Pool) cover(now time.Time, ask Ask) *server {
 	if p.recent.share(now, p.overdue(now)) < coverAbove {
 		return nil
@@ -84,25 +81,19 @@
 		within = coverSoon
 	}
 	var best *server
-	total, missing, least := 0.0, 0.0, 1.0
+	least := 1.0
 	for _, s := range p.list {
 		if s.info.Domain != p.options.Domain || now.Before(s.cutUntil) {
 			continue
 		}
-		failing := s.failing(now)
-		total += 1 - failing
 		if now.Sub(s.lastTried(now)) < within {
 			continue
 		}
-		missing += 1 - failing
-		if failing < least && p.mayCover(now, s) && !excluded(ask.Exclude, s.info.Incarnation) {
+		if failing := s.failing(now); failing < least && p.mayCover(now, s) && !excluded(ask.Exclude, s.info.Incarnation) {
 			best, least = s, failing
 		}
 	}
-	if best == nil || missing <= coverSlack*total {
-		return nil
-	}
-	if best.joint(now) >= suspectAbove {
+	if best != nil && best.joint(now) >= suspectAbove {
 		p.coveredAt = now
 	}
 	return best
--- a/core/balance/cover_test.go
+++ b/core/balance/cover_test.go
@@ -54,7 +54,8 @@
 	}{
 		{"most are missing", 2, 1700 * time.Millisecond, protectedAsk(), false, true, true},
 		{"the service does not fail", 2, 1700 * time.Millisecond, protectedAsk(), false, false, false},
-		{"few are missing", 18, 1700 * time.Millisecond, protectedAsk(), false, true, false},
+		{"one is missing", 19, 1700 * time.Millisecond, protectedAsk(), false, true, true},
+		{"none is missing", 20, 1700 * time.Millisecond, protectedAsk(), false, true, false},
 		{"another instance uses them", 2, 1700 * time.Millisecond, protectedAsk(), true, true, false},
 		{"an idempotent request comes first", 2, 1300 * time.Millisecond, idempotentAsk(), false, true, true},
 		{"a protected one later", 2, 1300 * time.Millisecond, protectedAsk(), false, true, false},
