Say what a refusal under overload means in its comments and message

The comments of balance and the message of the refusal still named the deadline, which is not what binds since queues are bounded by the objective. Behaviour is the same.

--- a/core/balance/doc.go
+++ b/core/balance/doc.go
@@ -6,7 +6,8 @@
 // its requests. It relaxes with time, falls with successes, and rises with
 // failures and with the age of what is outstanding. Pick takes the server with
 // the lowest cost, which adds the risk of a late answer and the price of distance
-// to that probability. Idempotent requests go where little is known and test
+// to that probability, and leaves out servers whose queue ends after the objective;
+// without another one there is no room. Idempotent requests go where little is known and test
 // servers that are suspected. While a service fails, all servers that may be
 // sound get requests, so that the floor is kept.
 //
--- a/core/balance/enums.go
+++ b/core/balance/enums.go
@@ -45,6 +45,6 @@
 	Chosen Refusal = iota
 	// NoServer means that no server of the service may be used.
 	NoServer
-	// NoRoom means that no server can be done before the deadline.
+	// NoRoom means that the queues of all servers end too late.
 	NoRoom
 )
--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -235,7 +235,7 @@
 	case r.trail.Ran, last.Status != 0 && !last.Refused():
 		return last
 	case refusal == balance.NoRoom:
-		return refuse(exchange.Overloaded, "no server can answer before the deadline", refusalPause)
+		return refuse(exchange.Overloaded, "the queues of all servers end too late", refusalPause)
 	case last.Status != 0 && !r.engine.options.Clock.Now().Before(r.request.Deadline):
 		return refuse(exchange.Expired, "the deadline passed before a server took the request", 0)
 	default:
