Log fetches of copies with their time, bytes and revisions

The log could not tell a copy that arrives too slowly from one that is made too slowly: a failed fetch had only its error, and a fetch that succeeded was not logged. Both have the peer, the revision asked for, the time and the bytes received now, and counters sum them up.

--- a/core/follow/copier.go
+++ b/core/follow/copier.go
@@ -66,10 +66,17 @@
 func (c *CopyFetcher) fetch(ctx context.Context, request fetchRequest) {
 	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	startedAt, receivedBefore := c.options.Clock.Now(), c.options.Peers.ReceivedBytes()
 	listing, err := c.options.Peers.Fetch(fetchCtx, request.peer, request.known)
-	if err != nil {
-		c.options.Sink.HandleCopyFetchFailure(request.peer, err)
-		return
+	c.options.Sink.ReportFetch(FetchReport{
+		Peer:          request.peer,
+		Known:         request.known,
+		Duration:      c.options.Clock.Now().Sub(startedAt),
+		ReceivedBytes: c.options.Peers.ReceivedBytes() - receivedBefore,
+		Listing:       listing,
+		Err:           err,
+	})
+	if err == nil {
+		c.options.Sink.ApplyListing(listing, false)
 	}
-	c.options.Sink.ApplyListing(listing, false)
 }
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -104,10 +104,12 @@
 	s.regained++
 }
 
-func (s *recordingSink) HandleCopyFetchFailure(fleet.Address, error) {
+func (s *recordingSink) ReportFetch(report FetchReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.missed++
+	if report.Err != nil {
+		s.missed++
+	}
 }
 
 // eventually fails the test unless the condition holds within 5 s.
@@ -182,6 +184,8 @@
 	return Listing{Partial: true}, p.err
 }
 
+func (fakePeers) ReceivedBytes() int64 { return 0 }
+
 // TestCopyFetcher guards against fetched copies that are dropped, and against failed
 // fetches that are handled as copies.
 func TestCopyFetcher(t *testing.T) {
--- a/core/follow/source.go
+++ b/core/follow/source.go
@@ -52,6 +52,22 @@
 type Peers interface {
 	// Fetch returns the part of the copy of a peer that is newer than a known revision.
 	Fetch(ctx context.Context, peer fleet.Address, known fleet.Revision) (Listing, error)
+	// ReceivedBytes returns the number of bytes received from peers so far, also by
+	// fetches that failed.
+	ReceivedBytes() int64
+}
+
+// FetchReport describes a finished fetch of the copy of a peer.
+type FetchReport struct {
+	Peer fleet.Address
+	// Known is the revision of the own copy at the start.
+	Known    fleet.Revision
+	Duration time.Duration
+	// ReceivedBytes is what arrived from the peer until the end of the fetch.
+	ReceivedBytes int64
+	// Listing is what was fetched. Err is set if the fetch failed.
+	Listing Listing
+	Err     error
 }
 
 // Sink receives the content of the store and the failures to read it.
@@ -66,6 +82,6 @@
 	// success, with the time in between.
 	HandleStoreLost(err error)
 	HandleStoreRegained(after time.Duration)
-	// HandleCopyFetchFailure is called when the copy of a peer could not be fetched.
-	HandleCopyFetchFailure(peer fleet.Address, err error)
+	// ReportFetch is called at the end of each fetch from a peer.
+	ReportFetch(report FetchReport)
 }
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -107,10 +107,8 @@
 	l.submit(context.Background(), func(s *state) { s.storeLost = false })
 }
 
-// HandleCopyFetchFailure implements follow.Sink.
-func (l *Loop) HandleCopyFetchFailure(peer fleet.Address, err error) {
-	l.options.Events.CopyFetchFailed(peer, err)
-}
+// ReportFetch implements follow.Sink.
+func (l *Loop) ReportFetch(report follow.FetchReport) { l.options.Events.CopyFetched(report) }
 
 // HandleHeartbeat handles a heartbeat of another instance. The heartbeat is dropped if
 // too many commands are queued; the next one follows soon.
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -5,6 +5,7 @@
 
 	"galenaridge/core/balance"
 	"galenaridge/core/fleet"
+	"galenaridge/core/follow"
 	"galenaridge/core/registry"
 	"galenaridge/core/retry"
 	"galenaridge/core/workset"
@@ -61,7 +62,8 @@
 	ServerRemoved(server fleet.ServerID, lapsed bool)
 	StoreLost(err error)
 	StoreRegained(after time.Duration)
-	CopyFetchFailed(peer fleet.Address, err error)
+	// CopyFetched reports the end of a fetch from a peer, also of one that failed.
+	CopyFetched(report follow.FetchReport)
 	// MachineSlowChanged reports that the machine has become slow or has recovered,
 	// with the mean lag of its ticks.
 	MachineSlowChanged(slow bool, lag time.Duration)
--- a/core/gateway/support_test.go
+++ b/core/gateway/support_test.go
@@ -7,6 +7,7 @@
 
 	"galenaridge/core/balance"
 	"galenaridge/core/fleet"
+	"galenaridge/core/follow"
 	"galenaridge/core/registry"
 	"galenaridge/core/retry"
 	"galenaridge/core/workset"
@@ -57,7 +58,7 @@
 func (r *recorder) ServerRemoved(id fleet.ServerID, _ bool)                                 { r.removed = append(r.removed, id) }
 func (r *recorder) StoreLost(error)                                                         {}
 func (r *recorder) StoreRegained(time.Duration)                                             {}
-func (r *recorder) CopyFetchFailed(fleet.Address, error)                                    {}
+func (r *recorder) CopyFetched(follow.FetchReport)                                          {}
 func (r *recorder) MachineSlowChanged(slow bool, _ time.Duration)                           { r.slow = append(r.slow, slow) }
 func (r *recorder) Stopping()                                                               {}
 
--- a/io/decisionlog/line.go
+++ b/io/decisionlog/line.go
@@ -22,6 +22,7 @@
 	ConfigRefused     Event = "config-refused"
 	StoreLost         Event = "store-lost"
 	StoreRegained     Event = "store-regained"
+	CopyFetched       Event = "copy-fetched"
 	CopyFetchFailed   Event = "copy-missed"
 	PeerJoined        Event = "peer-joined"
 	RoleChanged       Event = "place-changed"
@@ -56,6 +57,8 @@
 	// listing in use.
 	ConfigVersion   uint64 `json:"version,omitempty"`
 	ListingRevision uint64 `json:"revision,omitempty"`
+	// KnownRevision is the revision from which on a peer was asked for changes.
+	KnownRevision uint64 `json:"known,omitempty"`
 	// ListingAgeMS is the time since the listing was last confirmed.
 	ListingAgeMS int64  `json:"list_age_ms,omitempty"`
 	Outcome      string `json:"outcome,omitempty"`
@@ -75,6 +78,7 @@
 	// fails its requests.
 	FailureProbability float64  `json:"failing,omitempty"`
 	Count              int64    `json:"count,omitempty"`
+	ReceivedBytes      int64    `json:"bytes,omitempty"`
 	AgeMS              int64    `json:"age_ms,omitempty"`
 	Addresses          []string `json:"list,omitempty"`
 }
--- a/io/decisionlog/writer_test.go
+++ b/io/decisionlog/writer_test.go
@@ -75,8 +75,8 @@
 		want  []string
 	}{
 		{Line{}, []string{
-			"time", "instance", "event", "id", "route", "service", "idempotent", "version", "revision", "list_age_ms", "outcome", "code",
-			"status", "took_ms", "left_ms", "caller_left", "attempts", "server", "peer", "state", "cause", "failing", "count", "age_ms", "list",
+			"time", "instance", "event", "id", "route", "service", "idempotent", "version", "revision", "known", "list_age_ms", "outcome", "code",
+			"status", "took_ms", "left_ms", "caller_left", "attempts", "server", "peer", "state", "cause", "failing", "count", "bytes", "age_ms", "list",
 		}},
 		{Attempt{}, []string{"server", "at_ms", "took_ms", "expected_ms", "failing", "busy", "result", "status", "trial", "hedge", "error"}},
 	}
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -6,6 +6,7 @@
 	"galenaridge/core/balance"
 	"galenaridge/core/dispatch"
 	"galenaridge/core/fleet"
+	"galenaridge/core/follow"
 	"galenaridge/core/registry"
 	"galenaridge/core/workset"
 	"galenaridge/io/decisionlog"
@@ -17,6 +18,7 @@
 	process        *Process
 	writer         *decisionlog.Writer
 	requestMetrics *requestMetrics
+	fetchMetrics   *fetchMetrics
 }
 
 // RequestFinished implements dispatch.Journal.
@@ -160,9 +162,24 @@
 	j.writer.Write(decisionlog.Line{Event: decisionlog.StoreRegained, AgeMS: unavailableFor.Milliseconds()})
 }
 
-// CopyFetchFailed implements gateway.Events of core.
-func (j *decisionJournal) CopyFetchFailed(peer fleet.Address, err error) {
-	j.writer.Write(decisionlog.Line{Event: decisionlog.CopyFetchFailed, Peer: string(peer), Cause: err.Error()})
+// CopyFetched implements gateway.Events of core.
+func (j *decisionJournal) CopyFetched(report follow.FetchReport) {
+	j.fetchMetrics.record(report)
+	line := decisionlog.Line{
+		Event:           decisionlog.CopyFetched,
+		Peer:            string(report.Peer),
+		KnownRevision:   uint64(report.Known),
+		ListingRevision: uint64(report.Listing.Revision),
+		DurationMS:      report.Duration.Milliseconds(),
+		ReceivedBytes:   report.ReceivedBytes,
+	}
+	if report.Listing.Routes != nil {
+		line.ConfigVersion = uint64(report.Listing.Routes.Version)
+	}
+	if report.Err != nil {
+		line.Event, line.Cause = decisionlog.CopyFetchFailed, report.Err.Error()
+	}
+	j.writer.Write(line)
 }
 
 // MachineSlowChanged implements gateway.Events of core.
--- a/io/gateway/ports.go
+++ b/io/gateway/ports.go
@@ -87,10 +87,8 @@
 	s.process.control.HandleStoreRegained(unavailableFor)
 }
 
-// HandleCopyFetchFailure implements follow.Sink.
-func (s followerSink) HandleCopyFetchFailure(peer fleet.Address, err error) {
-	s.process.control.HandleCopyFetchFailure(peer, err)
-}
+// ReportFetch implements follow.Sink.
+func (s followerSink) ReportFetch(report follow.FetchReport) { s.process.control.ReportFetch(report) }
 
 // processRandom is the process-wide random source. It is safe for concurrent use.
 type processRandom struct{}
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	decisions := &decisionJournal{process: p, writer: p.decisions, requestMetrics: newRequestMetrics(p.metrics)}
+	decisions := &decisionJournal{process: p, writer: p.decisions, requestMetrics: newRequestMetrics(p.metrics), fetchMetrics: newFetchMetrics(p.metrics)}
 	storeCalls := p.metrics.NewCounter("galenaridge_store_calls_total")
 	p.follower = follow.New(follow.Options{
 		Store: p.options.Adapter.NewStore(s.StoreAddress, p.clock, p.log, storeCalls),
--- a/io/peer/snapshot/client.go
+++ b/io/peer/snapshot/client.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,18 +20,46 @@
 
 // Client fetches the store copies of other instances.
 type Client struct {
-	http *fasthttp.Client
+	http          *fasthttp.Client
+	receivedBytes atomic.Int64
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{http: &fasthttp.Client{
+	c := &Client{}
+	c.http = &fasthttp.Client{
+		Dial:                      c.dial,
 		MaxResponseBodySize:       maxBodyBytes,
 		MaxIdleConnDuration:       time.Second,
 		MaxIdemponentCallAttempts: 1,
-	}}
+	}
+	return c
 }
 
+func (c *Client) dial(address string) (net.Conn, error) {
+	socket, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: socket, received: &c.receivedBytes}, nil
+}
+
+// countingConn adds the bytes that it receives to a counter.
+type countingConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// ReceivedBytes implements follow.Peers.
+func (c *Client) ReceivedBytes() int64 { return c.receivedBytes.Load() }
+
 // Fetch implements follow.Peers. The context must have a deadline.
 func (c *Client) Fetch(ctx context.Context, peer fleet.Address, known fleet.Revision) (follow.Listing, error) {
 	var listing follow.Listing
