--- a/io/gateway/http_server.go
+++ b/io/gateway/http_server.go
@@ -42,7 +42,7 @@
 		if server.address == "" {
 			continue
 		}
-		listener, err := listen(server.name, server.address)
+		listener, err := p.listen(server.name, server.address)
 		if err != nil {
 			return err
 		}
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -42,6 +42,8 @@
 	Release string
 	// Reload receives a value when the settings should be read again.
 	Reload <-chan struct{}
+	// Listen opens the TCP listeners; net.Listen if nil.
+	Listen func(network, address string) (net.Listener, error)
 }
 
 // Process is one instance that runs on a platform.
@@ -69,6 +71,9 @@
 // New opens the listeners of an instance and assembles its parts. On an error all
 // listeners are closed.
 func New(options Options) (*Process, error) {
+	if options.Listen == nil {
+		options.Listen = net.Listen
+	}
 	p := &Process{options: options, clock: clock{options.Clock}, metrics: metrics.NewSet()}
 	p.seeds = options.Settings.Seeds
 	p.decisions = decisionlog.NewWriter(options.LogOutput, p.clock, options.Settings.ID)
@@ -108,7 +113,7 @@
 		return err
 	}
 	p.peerSocket = socket
-	p.callerListener, err = listen("callers", s.Listen.Caller)
+	p.callerListener, err = p.listen("callers", s.Listen.Caller)
 	if err != nil {
 		return err
 	}
@@ -164,8 +169,8 @@
 	return p.openHTTPServers()
 }
 
-func listen(name string, address fleet.Address) (net.Listener, error) {
-	listener, err := net.Listen("tcp4", string(address))
+func (p *Process) listen(name string, address fleet.Address) (net.Listener, error) {
+	listener, err := p.options.Listen("tcp4", string(address))
 	return listener, eris.Wrapf(err, "cannot listen for %s on %s", name, address)
 }
 
