Fetch the configuration apart from the servers, and in parts

Callers were answered by an old configuration or with 404, and requests reached servers that had left, for seconds after a large configuration.

Cause: the copy of the store travelled whole, in one response with a limit of 400 ms. Links of small machines, shared by all instances of a failure domain, cannot carry it in that time. Each failed fetch dropped what had arrived and began again, so the fetches themselves kept the links full; and the changes of servers waited in the same response. Bulk data under a fixed time limit, all or nothing, with urgent data behind it.

Changes of servers are a response of their own now. The configuration and the complete listing are documents: compressed, cut into parts of 16 kB, with the digest of the whole. A failed part leaves the others, and the transfer goes on with any peer that has the same document. The sender limits documents to half of its link. What peers announce but do not deliver is read from the store by an instance of any rank.

--- a/core/follow/copy_fetcher.go
+++ b/core/follow/copy_fetcher.go
@@ -2,81 +2,51 @@
 
 import (
 	"context"
-	"time"
 
-	"galenaridge/core/fleet"
-)
+	"github.com/sourcegraph/conc"
 
-const (
-	// fetchTimeout bounds a fetch from a peer.
-	fetchTimeout = 400 * time.Millisecond
-	// fetchInterval is the minimum time between two fetches, so that changes made
-	// shortly after each other are fetched together.
-	fetchInterval = 100 * time.Millisecond
+	"galenaridge/core/fleet"
 )
 
 // CopyFetcherOptions configures a CopyFetcher.
 type CopyFetcherOptions struct {
-	Peers Peers
-	Sink  Sink
-	Clock Timer
+	Peers  Peers
+	Sink   PeerSink
+	Copy   Copy
+	Clock  Timer
+	Random Random
 }
 
-// CopyFetcher fetches the copies of the store that peers have, one at a time.
+// CopyFetcher fetches the copies of the store that peers have. Changes of servers are
+// fetched apart from documents, so that they never wait for a large one.
 type CopyFetcher struct {
-	options  CopyFetcherOptions
-	requests chan fetchRequest
-}
-
-// fetchRequest names a peer whose copy is newer than the known revision.
-type fetchRequest struct {
-	peer  fleet.Address
-	known fleet.Revision
+	changes   changeFetcher
+	documents documentFetcher
 }
 
 // NewCopyFetcher returns a fetcher. Its requests are handled by Run.
 func NewCopyFetcher(options CopyFetcherOptions) *CopyFetcher {
-	return &CopyFetcher{options: options, requests: make(chan fetchRequest, 1)}
+	c := &CopyFetcher{documents: newDocumentFetcher(options)}
+	c.changes = newChangeFetcher(options, c.documents.offer)
+	return c
 }
 
-// Fetch requests a fetch of the copy of a peer. It does not block, and does nothing while
-// another request is queued: the next heartbeat of the peer leads to the next call.
-func (c *CopyFetcher) Fetch(peer fleet.Address, known fleet.Revision) {
-	select {
-	case c.requests <- fetchRequest{peer: peer, known: known}:
-	default:
-	}
+// FetchChanges requests the changes of the server listing of a peer since a revision. It
+// does not block, and does nothing while another request is queued: the next heartbeat of
+// the peer leads to the next call.
+func (c *CopyFetcher) FetchChanges(peer fleet.Address, known fleet.Revision) {
+	c.changes.request(changeRequest{peer: peer, known: known})
 }
 
-// Run handles requests until the context ends.
-func (c *CopyFetcher) Run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case request := <-c.requests:
-			c.fetch(ctx, request)
-		}
-		if c.options.Clock.Sleep(ctx, fetchInterval) != nil {
-			return
-		}
-	}
+// FetchConfiguration names a peer that has a newer configuration. It does not block.
+func (c *CopyFetcher) FetchConfiguration(peer fleet.Address, version fleet.Version) {
+	c.documents.offer(offer{kind: Configuration, peer: peer, generation: Generation(version)})
 }
 
-func (c *CopyFetcher) fetch(ctx context.Context, request fetchRequest) {
-	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	startedAt, receivedBefore := c.options.Clock.Now(), c.options.Peers.ReceivedBytes()
-	listing, err := c.options.Peers.Fetch(fetchCtx, request.peer, request.known)
-	c.options.Sink.ReportFetch(FetchReport{
-		Peer:          request.peer,
-		Known:         request.known,
-		Duration:      c.options.Clock.Now().Sub(startedAt),
-		ReceivedBytes: c.options.Peers.ReceivedBytes() - receivedBefore,
-		Listing:       listing,
-		Err:           err,
-	})
-	if err == nil {
-		c.options.Sink.ApplyListing(listing, false)
-	}
+// Run handles requests until the context ends.
+func (c *CopyFetcher) Run(ctx context.Context) {
+	var running conc.WaitGroup
+	running.Go(func() { c.changes.run(ctx) })
+	running.Go(func() { c.documents.run(ctx) })
+	running.Wait()
 }
--- a/core/follow/doc.go
+++ b/core/follow/doc.go
@@ -5,4 +5,8 @@
 // the store has dropped its history, or calls failed for so long that changes may have
 // been missed, the follower reads a complete listing again. A CopyFetcher fetches the
 // copies of peers, for instances that do not read the store or cannot reach it.
+//
+// Guarantees: the changes of servers do not wait for a large configuration. A transfer
+// from peers makes progress with each part that arrives, however slow the link, and
+// continues with another peer when one fails.
 package follow
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -12,6 +12,7 @@
 
 	"galenaridge/core/fleet"
 	"galenaridge/core/registry"
+	"galenaridge/core/route"
 )
 
 // realTimer is a Timer on the real clock.
@@ -33,8 +34,10 @@
 	watchErr error
 	lists    int
 	watches  int
-	changes  []Change
-	revision fleet.Revision
+	// configReads counts the reads of the configuration alone.
+	configReads int
+	changes     []Change
+	revision    fleet.Revision
 }
 
 func (s *fakeStore) List(context.Context) (Listing, error) {
@@ -75,6 +78,7 @@
 	regained int
 	missed   int
 	partial  int
+	configs  []fleet.Version
 }
 
 func (s *recordingSink) ApplyListing(l Listing, outage bool) {
@@ -177,15 +181,44 @@
 	})
 }
 
+func (s *fakeStore) Configuration(context.Context) (*route.Document, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configReads++
+	return &route.Document{Version: 7}, s.listErr
+}
+
+func (s *recordingSink) ApplyConfiguration(document *route.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configs = append(s.configs, document.Version)
+}
+
 // fakePeers returns a partial listing and an error.
 type fakePeers struct{ err error }
 
-func (p fakePeers) Fetch(context.Context, fleet.Address, fleet.Revision) (Listing, error) {
+func (p fakePeers) FetchChanges(context.Context, fleet.Address, fleet.Revision) (Listing, error) {
 	return Listing{Partial: true}, p.err
 }
 
+func (fakePeers) FetchPart(context.Context, fleet.Address, PartRequest) (Part, error) {
+	return Part{}, errors.New("no document")
+}
+
+func (fakePeers) Decode(Kind, []byte) (Listing, error) { return Listing{}, nil }
+
 func (fakePeers) ReceivedBytes() int64 { return 0 }
 
+// noCopy has no document.
+type noCopy struct{}
+
+func (noCopy) Generation(Kind) Generation { return 0 }
+
+// firstOf selects the first of several peers.
+type firstOf struct{}
+
+func (firstOf) Float64() float64 { return 0 }
+
 // TestCopyFetcher guards against fetched copies that are dropped, and against failed
 // fetches that are handled as copies.
 func TestCopyFetcher(t *testing.T) {
@@ -201,14 +234,14 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			target := &recordingSink{}
-			c := NewCopyFetcher(CopyFetcherOptions{Peers: fakePeers{test.err}, Sink: target, Clock: realTimer{clockwork.NewRealClock()}})
+			c := NewCopyFetcher(CopyFetcherOptions{Peers: fakePeers{test.err}, Sink: target, Copy: noCopy{}, Random: firstOf{}, Clock: realTimer{clockwork.NewRealClock()}})
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
 				c.Run(ctx)
 			}()
-			c.Fetch("peer", 1)
+			c.FetchChanges("peer", 1)
 			target.eventually(t, "the end of the fetch", func(s *recordingSink) bool { return s.missed == test.missed && s.partial == test.copies })
 			cancel()
 			<-done
--- a/core/follow/follower.go
+++ b/core/follow/follower.go
@@ -48,6 +48,7 @@
 type Follower struct {
 	options        Options
 	enableRequests chan bool
+	configRequests chan struct{}
 	enabled        bool
 	// listed is set if changes since revision suffice to bring the copy up to date.
 	listed   bool
@@ -60,7 +61,7 @@
 
 // New returns a follower that does not read the store yet.
 func New(options Options) *Follower {
-	return &Follower{options: options, enableRequests: make(chan bool, 1)}
+	return &Follower{options: options, enableRequests: make(chan bool, 1), configRequests: make(chan struct{}, 1)}
 }
 
 // SetEnabled starts or stops reading the store. It does not block; only the last of
@@ -79,6 +80,15 @@
 	}
 }
 
+// ReadConfiguration reads the configuration once, while the follower is not enabled. It
+// does not block.
+func (f *Follower) ReadConfiguration() {
+	select {
+	case f.configRequests <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -107,12 +117,23 @@
 		f.failingSince = time.Time{}
 		select {
 		case f.enabled = <-f.enableRequests:
+		case <-f.configRequests:
+			f.readConfiguration(ctx)
 		case <-ctx.Done():
 			return false
 		}
 	}
 }
 
+// readConfiguration reads only the configuration. A failure is left to the next request.
+func (f *Follower) readConfiguration(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	if document, err := f.options.Store.Configuration(callCtx); err == nil && document != nil {
+		f.options.Sink.ApplyConfiguration(document)
+	}
+}
+
 // readStore makes one call to the store: a complete listing if there is none to start
 // from, or else a watch for changes.
 func (f *Follower) readStore(ctx context.Context) error {
--- a/core/follow/source.go
+++ b/core/follow/source.go
@@ -21,10 +21,11 @@
 	Routes *route.Document
 }
 
-// Listing is the complete content of the store, or the changes since a revision.
+// Listing is the complete content of the store, or the changes since a revision. A
+// listing of a peer has no Routes, since the configuration is fetched apart.
 type Listing struct {
 	Servers  []registry.Server
-	Routes   *route.Document
+	Routes   *route.Document `json:",omitempty"`
 	Revision fleet.Revision
 	// Age is the time since the listing was confirmed; zero if it comes from the store
 	// itself.
@@ -46,28 +47,8 @@
 	// revision, or no changes if there are none within the wait. It returns
 	// ErrCompacted if the store has dropped some of them.
 	Watch(ctx context.Context, after fleet.Revision, wait time.Duration) ([]Change, fleet.Revision, error)
-}
-
-// Peers fetches the copies of other instances.
-type Peers interface {
-	// Fetch returns the part of the copy of a peer that is newer than a known revision.
-	Fetch(ctx context.Context, peer fleet.Address, known fleet.Revision) (Listing, error)
-	// ReceivedBytes returns the number of bytes received from peers so far, also by
-	// fetches that failed.
-	ReceivedBytes() int64
-}
-
-// FetchReport describes a finished fetch of the copy of a peer.
-type FetchReport struct {
-	Peer fleet.Address
-	// Known is the revision of the own copy at the start.
-	Known    fleet.Revision
-	Duration time.Duration
-	// ReceivedBytes is what arrived from the peer until the end of the fetch.
-	ReceivedBytes int64
-	// Listing is what was fetched. Err is set if the fetch failed.
-	Listing Listing
-	Err     error
+	// Configuration returns the latest configuration, or nil if there is none.
+	Configuration(ctx context.Context) (*route.Document, error)
 }
 
 // Sink receives the content of the store and the failures to read it.
@@ -78,10 +59,10 @@
 	// ApplyChanges receives all changes up to a revision. Without changes it confirms
 	// that the copy is current.
 	ApplyChanges(changes []Change, revision fleet.Revision)
+	// ApplyConfiguration receives a configuration that was read by itself.
+	ApplyConfiguration(document *route.Document)
 	// HandleStoreLost is called at the first failure, HandleStoreRegained at the next
 	// success, with the time in between.
 	HandleStoreLost(err error)
 	HandleStoreRegained(after time.Duration)
-	// ReportFetch is called at the end of each fetch from a peer.
-	ReportFetch(report FetchReport)
 }
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -6,6 +6,7 @@
 
 	"galenaridge/core/fleet"
 	"galenaridge/core/follow"
+	"galenaridge/core/route"
 	"galenaridge/core/workset"
 )
 
@@ -26,9 +27,7 @@
 	} else {
 		s.replaceCopy(now, listing, outage)
 	}
-	if s.newestRevision <= s.revision {
-		s.behindSince = time.Time{}
-	}
+	s.recordProgress(now)
 	s.confirmCopy(now.Add(-listing.Age))
 	s.updateRole(now)
 }
@@ -53,6 +52,7 @@
 	l.submit(context.Background(), func(s *state) {
 		now := s.options.Clock.Now()
 		s.applyChanges(changes, revision)
+		s.recordProgress(now)
 		s.confirmCopy(now)
 		if len(changes) > 0 {
 			s.updateRole(now)
@@ -60,6 +60,16 @@
 	})
 }
 
+// ApplyConfiguration implements follow.Sink and follow.PeerSink.
+func (l *Loop) ApplyConfiguration(document *route.Document) {
+	l.submit(context.Background(), func(s *state) {
+		now := s.options.Clock.Now()
+		s.adoptRoutes(document)
+		s.recordProgress(now)
+		s.updateRole(now)
+	})
+}
+
 // applyChanges updates the copy of the store with changes. Afterwards the copy has at
 // least the given revision.
 func (s *state) applyChanges(changes []follow.Change, revision fleet.Revision) {
@@ -107,7 +117,7 @@
 	l.submit(context.Background(), func(s *state) { s.storeLost = false })
 }
 
-// ReportFetch implements follow.Sink.
+// ReportFetch implements follow.PeerSink.
 func (l *Loop) ReportFetch(report follow.FetchReport) { l.options.Events.CopyFetched(report) }
 
 // HandleHeartbeat handles a heartbeat of another instance. The heartbeat is dropped if
@@ -155,14 +165,22 @@
 	})
 }
 
-// ListingSince returns the part of the copy of the store that is newer than a known
-// revision, for another instance. It fails when the context ends.
-func (l *Loop) ListingSince(ctx context.Context, known fleet.Revision) (follow.Listing, error) {
-	result := make(chan follow.Listing, 1)
-	l.submit(ctx, func(s *state) { result <- s.listingSince(s.options.Clock.Now(), known) })
+// ChangesSince returns the changes of the server listing after a known revision, for
+// another instance. It returns follow.ErrCompacted if some of them are no longer stored,
+// and fails when the context ends.
+func (l *Loop) ChangesSince(ctx context.Context, known fleet.Revision) (follow.Listing, error) {
+	type result struct {
+		listing follow.Listing
+		err     error
+	}
+	results := make(chan result, 1)
+	l.submit(ctx, func(s *state) {
+		listing, err := s.changesSince(s.options.Clock.Now(), known)
+		results <- result{listing, err}
+	})
 	select {
-	case listing := <-result:
-		return listing, nil
+	case r := <-results:
+		return r.listing, r.err
 	case <-ctx.Done():
 		return follow.Listing{}, ctx.Err()
 	}
--- a/core/gateway/copy.go
+++ b/core/gateway/copy.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"galenaridge/core/fleet"
@@ -14,9 +15,11 @@
 	changes  []follow.Change
 }
 
-// keepBatch stores changes for peers that request them. It drops the oldest batches
-// beyond maxBatches and maxChanges.
+// keepBatch stores changes of servers for peers that request them. It drops the oldest
+// batches beyond maxBatches and maxChanges. The configuration is not among the changes:
+// peers fetch it apart, and only its latest version.
 func (s *state) keepBatch(b batch) {
+	b.changes = serverChanges(b.changes)
 	if len(b.changes) == 0 && len(s.batches) > 0 {
 		s.batches[len(s.batches)-1].to = b.to
 		return
@@ -32,56 +35,99 @@
 	}
 }
 
-// listingSince returns the part of the copy that is newer than a known revision: the
-// changes since then, or the complete copy if those changes are no longer stored.
-func (s *state) listingSince(now time.Time, known fleet.Revision) follow.Listing {
-	listing := follow.Listing{Revision: s.revision, Age: s.copyAge(now)}
-	if len(s.batches) > 0 && s.batches[0].from <= known {
-		listing.Partial = true
-		for _, b := range s.batches {
-			if b.to > known {
-				listing.Changes = append(listing.Changes, b.changes...)
-			}
+// serverChanges returns the changes without those of the configuration.
+func serverChanges(changes []follow.Change) []follow.Change {
+	return slices.DeleteFunc(slices.Clone(changes), func(c follow.Change) bool { return c.Routes != nil })
+}
+
+// changesSince returns the changes of the server listing after a known revision. It
+// returns follow.ErrCompacted if some of them are no longer stored, or if they are too
+// many for one call.
+func (s *state) changesSince(now time.Time, known fleet.Revision) (follow.Listing, error) {
+	if len(s.batches) == 0 || s.batches[0].from > known {
+		return follow.Listing{}, follow.ErrCompacted
+	}
+	listing := follow.Listing{Revision: s.revision, Age: s.copyAge(now), Partial: true}
+	for _, b := range s.batches {
+		if b.to > known {
+			listing.Changes = append(listing.Changes, b.changes...)
 		}
-		return listing
 	}
-	listing.Routes = s.document
-	view := s.registry.View()
-	for _, name := range view.Services() {
-		listing.Servers = append(listing.Servers, view.Servers(name)...)
+	if len(listing.Changes) > maxFetchedChanges {
+		return follow.Listing{}, follow.ErrCompacted
 	}
-	return listing
+	return listing, nil
+}
+
+// announcement is the newest generation of a document that peers have announced.
+type announcement struct {
+	newest      follow.Generation
+	announcedAt time.Time
+	own         follow.Generation
+	// behindSince is the time since which the own generation is lower and does not rise;
+	// zero if it is not lower.
+	behindSince time.Time
+}
+
+// update takes an announcement of a peer and the own generation into account. An
+// announcement that no heartbeat repeats is forgotten: the peer that made it is gone.
+func (a *announcement) update(now time.Time, announced, own follow.Generation) {
+	if announced >= a.newest || now.Sub(a.announcedAt) > announcementTTL {
+		a.newest, a.announcedAt = announced, now
+	}
+	if own > a.own {
+		a.own, a.behindSince = own, time.Time{}
+	}
+	switch {
+	case a.newest <= own:
+		a.behindSince = time.Time{}
+	case a.behindSince.IsZero():
+		a.behindSince = now
+	}
+}
+
+// behindFor returns for how long the own generation has been lower than an announced one.
+func (a *announcement) behindFor(now time.Time) time.Duration {
+	if a.behindSince.IsZero() || now.Sub(a.announcedAt) > announcementTTL {
+		return 0
+	}
+	return now.Sub(a.behindSince)
+}
+
+// recordProgress updates the announcements after a change of the own copy.
+func (s *state) recordProgress(now time.Time) {
+	s.announcedListing.update(now, 0, follow.Generation(s.revision))
+	s.announcedConfig.update(now, 0, follow.Generation(s.routes.Version()))
 }
 
 // compareCopy compares the own copy of the store with the copy that a heartbeat
-// reports. A copy of the same revision confirms the own copy. A newer copy is fetched
-// from the sender, unless this instance reads the store itself, the store responds and
-// the own copy is not overdue. From another failure domain it is fetched only after the
-// own copy has been behind for remoteFetchDelay.
+// reports, and requests from the sender what is newer there.
 func (s *state) compareCopy(now time.Time, heartbeat workset.Heartbeat) {
 	if !heartbeat.Ready {
 		return
 	}
 	s.peerHasCopy = true
-	s.newestRevision = max(s.newestRevision, heartbeat.Revision)
-	switch {
-	case s.newestRevision <= s.revision:
-		s.behindSince = time.Time{}
-	case s.behindSince.IsZero():
-		s.behindSince = now
-	}
-	switch {
-	case heartbeat.Revision < s.revision:
-		return
-	case heartbeat.Revision == s.revision:
+	s.announcedListing.update(now, follow.Generation(heartbeat.Revision), follow.Generation(s.revision))
+	s.announcedConfig.update(now, follow.Generation(heartbeat.Version), follow.Generation(s.routes.Version()))
+	if heartbeat.Revision == s.revision {
 		s.confirmCopy(now.Add(-heartbeat.CopyAge))
-		return
 	}
-	if s.followingStore && !s.storeLost && s.revision > 0 && now.Sub(s.confirmedAt) < overdueCopyAge {
-		return
+	if heartbeat.Revision > s.revision && s.mayFetch(now, heartbeat.Domain, &s.announcedListing) {
+		s.options.CopyFetcher.FetchChanges(heartbeat.PeerAddress, s.revision)
 	}
-	local := heartbeat.Domain == s.options.Self.Domain
-	if local || now.Sub(s.behindSince) > remoteFetchDelay {
-		s.options.CopyFetcher.Fetch(heartbeat.PeerAddress, s.revision)
+	if heartbeat.Version > s.routes.Version() && s.mayFetch(now, heartbeat.Domain, &s.announcedConfig) {
+		s.options.CopyFetcher.FetchConfiguration(heartbeat.PeerAddress, heartbeat.Version)
+	}
+}
+
+// mayFetch reports whether a newer document may be fetched from a peer of a failure
+// domain. An instance that reads the store fetches it only if the store does not respond
+// or its copy is overdue. From another failure domain a document is fetched only after
+// the own one has been behind for remoteFetchDelay.
+func (s *state) mayFetch(now time.Time, domain fleet.Domain, announced *announcement) bool {
+	behind := announced.behindFor(now)
+	if s.followingStore && !s.storeLost && s.revision > 0 && now.Sub(s.confirmedAt) < overdueCopyAge && behind < overdueCopyAge {
+		return false
 	}
+	return domain == s.options.Self.Domain || behind > remoteFetchDelay
 }
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -72,13 +72,15 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			listing := l.state.listingSince(clock.Now(), test.known)
-			require.Equal(t, fleet.Revision(15), listing.Revision)
-			require.Equal(t, test.partial, listing.Partial)
-			require.Len(t, listing.Changes, test.changes)
+			listing, err := l.state.changesSince(clock.Now(), test.known)
 			if !test.partial {
+				require.ErrorIs(t, err, follow.ErrCompacted)
+				listing = l.View().Listing(clock.Now())
 				require.Len(t, listing.Servers, 1)
 			}
+			require.Equal(t, fleet.Revision(15), listing.Revision)
+			require.Equal(t, test.partial, listing.Partial)
+			require.Len(t, listing.Changes, test.changes)
 		})
 	}
 }
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -40,11 +40,13 @@
 	// batches holds the latest changes of the copy, for peers that request them.
 	batches  []batch
 	revision fleet.Revision
-	// newestRevision is the highest revision that a peer has reported. behindSince is
-	// the time since which it is higher than the own revision; zero if it is not.
-	newestRevision fleet.Revision
-	behindSince    time.Time
-	confirmedAt    time.Time
+	// announcedListing and announcedConfig are what peers have announced.
+	announcedListing announcement
+	announcedConfig  announcement
+	// configReadAt is when this instance last read the configuration by itself because
+	// it got none from peers.
+	configReadAt time.Time
+	confirmedAt  time.Time
 	// copyOldAt is the last time at which the copy was older than oldCopyAge.
 	copyOldAt time.Time
 	startedAt time.Time
@@ -145,6 +147,7 @@
 func (s *state) newView() *View {
 	return &View{
 		routes:      s.routes.Table(),
+		document:    s.document,
 		registry:    s.registry.View(),
 		upstreams:   s.upstreams,
 		usable:      s.usable,
@@ -167,6 +170,7 @@
 	if s.lag.recordTick(now) {
 		s.options.Events.MachineSlowChanged(s.lag.slow, s.lag.mean)
 	}
+	s.readLateConfig(now)
 	s.tickCount++
 	if s.workingSet.View().Role() == workset.Idle && s.loaded() && !s.stopping && s.tickCount%idleTicksPerUpdate != 0 {
 		return
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -32,15 +32,19 @@
 	ServerReports []balance.ServerReport
 }
 
-// StoreFollower reads the store while it is enabled.
+// StoreFollower reads the store while it is enabled. Its methods must not block.
 type StoreFollower interface {
 	SetEnabled(on bool)
+	// ReadConfiguration reads the configuration once, if the follower is not enabled.
+	ReadConfiguration()
 }
 
-// CopyFetcher fetches the part of the copy of a peer that is newer than a known
-// revision. It must not block.
+// CopyFetcher fetches what is newer in the copies of peers. Its methods must not block.
 type CopyFetcher interface {
-	Fetch(peer fleet.Address, known fleet.Revision)
+	// FetchChanges requests the changes of the server listing after a known revision.
+	FetchChanges(peer fleet.Address, known fleet.Revision)
+	// FetchConfiguration names a peer that has a newer configuration.
+	FetchConfiguration(peer fleet.Address, version fleet.Version)
 }
 
 // Traffic counts the requests of this instance.
@@ -129,8 +133,25 @@
 	// copies of peers as well, and other instances read the store.
 	overdueCopyAge = 1250 * time.Millisecond
 	// maxBatches and maxChanges bound the changes that are stored for peers.
-	maxBatches = 64
-	maxChanges = 512
+	// maxFetchedChanges bounds those in one call, which must fit into a short time also
+	// on a slow link.
+	maxBatches        = 256
+	maxChanges        = 8192
+	maxFetchedChanges = 1024
+	// announcementTTL is how long an announcement of a newer copy counts. Idle instances
+	// repeat it each second.
+	announcementTTL = 2500 * time.Millisecond
+	// configPatience is how long this instance waits for a newer configuration of peers
+	// before it reads it from the store, at most once in configReadInterval. Instances
+	// of higher rank wait longer, by rankDelay for each rank up to maxRankDelay, so that
+	// they can fetch it from those of lower rank.
+	configPatience     = 700 * time.Millisecond
+	configReadInterval = time.Second
+	rankDelay          = 10 * time.Millisecond
+	maxRankDelay       = 300 * time.Millisecond
+	// listingPatience is how long this instance waits for changes of servers that peers
+	// have before it reads the store. It is extended by the rank too.
+	listingPatience = 900 * time.Millisecond
 	// rateWeight is the weight of one measurement in the moving average of the request
 	// rate.
 	rateWeight = 0.05
--- a/core/gateway/role.go
+++ b/core/gateway/role.go
@@ -94,12 +94,30 @@
 	age := s.copyAge(now)
 	rank := view.Rank()
 	early := rank <= maxEarlyReaderRank || view.Role() == workset.Active
-	if view.IsStoreReader() || age > overdueCopyAge && early || age > overdueCopyAge+lateReaderDelay && rank <= maxLateReaderRank {
+	overdue := age > overdueCopyAge && early || age > overdueCopyAge+lateReaderDelay && rank <= maxLateReaderRank
+	behind := s.announcedListing.behindFor(now) > listingPatience+s.rankDelay()
+	if view.IsStoreReader() || overdue || behind {
 		s.followUntil = now.Add(extraReadTime)
 	}
 	return now.Before(s.followUntil)
 }
 
+// rankDelay returns how much longer than the first in rank this instance waits before it
+// reads the store because peers do not deliver what they announced.
+func (s *state) rankDelay() time.Duration {
+	return min(time.Duration(s.workingSet.View().Rank())*rankDelay, maxRankDelay)
+}
+
+// readLateConfig reads the configuration from the store if peers have announced a newer one
+// and did not deliver it in time.
+func (s *state) readLateConfig(now time.Time) {
+	if s.followingStore && !s.storeLost || s.announcedConfig.behindFor(now) <= configPatience+s.rankDelay() || now.Sub(s.configReadAt) < configReadInterval {
+		return
+	}
+	s.configReadAt = now
+	s.options.StoreFollower.ReadConfiguration()
+}
+
 // mustReadFirstListing reports whether this instance, which has no copy yet, has to read
 // the store. If a peer has a copy, the instance waits for that copy, at most for
 // peerCopyWait, since a complete listing takes many calls. When the whole fleet starts
--- a/core/gateway/support_test.go
+++ b/core/gateway/support_test.go
@@ -23,12 +23,16 @@
 
 // recorder records the effects of a state and supplies its random numbers and counts.
 type recorder struct {
-	fetched   []fleet.Address
-	following bool
-	refused   []fleet.Version
-	removed   []fleet.ServerID
-	started   int64
-	slow      []bool
+	fetched []fleet.Address
+	// configFetched holds the peers that were named as having a newer configuration,
+	// configReads the number of reads of the configuration alone.
+	configFetched []fleet.Address
+	configReads   int
+	following     bool
+	refused       []fleet.Version
+	removed       []fleet.ServerID
+	started       int64
+	slow          []bool
 	// reported holds the reports that each peer received.
 	reported map[fleet.Address][]balance.ServerReport
 }
@@ -40,9 +44,14 @@
 	}
 }
 func (r *recorder) SetEnabled(on bool) { r.following = on }
-func (r *recorder) Fetch(peer fleet.Address, _ fleet.Revision) {
+func (r *recorder) ReadConfiguration() { r.configReads++ }
+func (r *recorder) FetchChanges(peer fleet.Address, _ fleet.Revision) {
 	r.fetched = append(r.fetched, peer)
 }
+
+func (r *recorder) FetchConfiguration(peer fleet.Address, _ fleet.Version) {
+	r.configFetched = append(r.configFetched, peer)
+}
 func (r *recorder) RequestsStarted() int64 { return r.started }
 func (r *recorder) Float64() float64       { return 0 }
 
--- a/core/gateway/view.go
+++ b/core/gateway/view.go
@@ -6,6 +6,7 @@
 	"galenaridge/core/balance"
 	"galenaridge/core/dispatch"
 	"galenaridge/core/fleet"
+	"galenaridge/core/follow"
 	"galenaridge/core/registry"
 	"galenaridge/core/route"
 	"galenaridge/core/workset"
@@ -15,6 +16,7 @@
 // traffic state with locks of their own.
 type View struct {
 	routes     *route.Table
+	document   *route.Document
 	registry   *registry.View
 	upstreams  map[fleet.ServiceName]*dispatch.Upstream
 	usable     map[registry.Incarnation]fleet.ServiceName
@@ -64,6 +66,22 @@
 // ConfirmedAt returns when the copy of the store was last known to be current.
 func (v *View) ConfirmedAt() time.Time { return v.confirmedAt }
 
+// Document returns the active configuration for other instances, or nil if there is none.
+func (v *View) Document() *route.Document { return v.document }
+
+// Listing returns the complete server listing for other instances. Its revision is zero if
+// there is none.
+func (v *View) Listing(now time.Time) follow.Listing {
+	listing := follow.Listing{Revision: v.revision, Age: unknownAge}
+	if !v.confirmedAt.IsZero() {
+		listing.Age = now.Sub(v.confirmedAt)
+	}
+	for _, name := range v.registry.Services() {
+		listing.Servers = append(listing.Servers, v.registry.Servers(name)...)
+	}
+	return listing
+}
+
 // Registry returns the listed servers.
 func (v *View) Registry() *registry.View { return v.registry }
 
--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -58,7 +58,7 @@
 // should be sent at once.
 func (s *State) SetLocalStatus(c LocalStatus) bool {
 	urgent := c.Leaving != s.self.Leaving || c.Ready != s.self.Ready || c.Slow != s.self.Slow || c.StoreUnreachable != s.self.StoreUnreachable
-	urgent = urgent || s.view.role == Active && c.Revision != s.self.Revision
+	urgent = urgent || s.view.role == Active && (c.Revision != s.self.Revision || c.Version != s.self.Version)
 	s.self.Leaving, s.self.Ready, s.self.Slow = c.Leaving, c.Ready, c.Slow
 	s.self.StoreUnreachable = c.StoreUnreachable
 	s.self.RequestRate, s.self.Version = c.RequestRate, c.Version
--- a/io/decisionlog/line.go
+++ b/io/decisionlog/line.go
@@ -57,8 +57,9 @@
 	// listing in use.
 	ConfigVersion   uint64 `json:"version,omitempty"`
 	ListingRevision uint64 `json:"revision,omitempty"`
-	// KnownRevision is the revision from which on a peer was asked for changes.
-	KnownRevision uint64 `json:"known,omitempty"`
+	// KnownGeneration is the revision or version that the instance had when it asked a
+	// peer for a newer one.
+	KnownGeneration uint64 `json:"known,omitempty"`
 	// ListingAgeMS is the time since the listing was last confirmed.
 	ListingAgeMS int64  `json:"list_age_ms,omitempty"`
 	Outcome      string `json:"outcome,omitempty"`
--- a/io/gateway/http_server.go
+++ b/io/gateway/http_server.go
@@ -24,7 +24,12 @@
 	directoryApp := fiber.New()
 	p.options.Adapter.RegisterDirectory(directoryApp, directory{p})
 	peerApp := fiber.New()
-	snapshot.Register(peerApp, p.control, p.log)
+	snapshot.Register(peerApp, snapshot.Options{
+		Source:    localCopy{p},
+		Clock:     p.clock,
+		Log:       p.log,
+		LinkSpeed: snapshot.Mbps(p.options.Settings.Capacity.LinkMbps),
+	})
 	operatorApp := fiber.New()
 	operatorApp.Get("/metrics", p.writeMetrics)
 	s := p.options.Settings
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -167,14 +167,16 @@
 	j.fetchMetrics.record(report)
 	line := decisionlog.Line{
 		Event:           decisionlog.CopyFetched,
+		State:           report.Kind.String(),
 		Peer:            string(report.Peer),
-		KnownRevision:   uint64(report.Known),
-		ListingRevision: uint64(report.Listing.Revision),
+		KnownGeneration: uint64(report.Known),
 		DurationMS:      report.Duration.Milliseconds(),
 		ReceivedBytes:   report.ReceivedBytes,
 	}
-	if report.Listing.Routes != nil {
-		line.ConfigVersion = uint64(report.Listing.Routes.Version)
+	if report.Kind == follow.Configuration {
+		line.ConfigVersion = uint64(report.Fetched)
+	} else {
+		line.ListingRevision = uint64(report.Fetched)
 	}
 	if report.Err != nil {
 		line.Event, line.Cause = decisionlog.CopyFetchFailed, report.Err.Error()
--- a/io/gateway/large_config_test.go
+++ b/io/gateway/large_config_test.go
@@ -104,7 +104,7 @@
 				Seeds:        []fleet.Address{addressOf(0, 1)},
 				StoreAddress: fleet.Address(f.store.Address()),
 				Bounds:       setting.Bounds{GracePeriod: time.Second, AssignmentTTL: time.Second, RetryWindow: time.Second},
-				Capacity:     setting.Capacity{Cores: 1},
+				Capacity:     setting.Capacity{Cores: 1, LinkMbps: float64(bandwidth)},
 			},
 			Adapter:   platform.Adapter{},
 			Clock:     clockwork.NewRealClock(),
--- a/io/gateway/ports.go
+++ b/io/gateway/ports.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	randv2 "math/rand/v2"
 	"time"
 
@@ -87,9 +88,39 @@
 	s.process.control.HandleStoreRegained(unavailableFor)
 }
 
-// ReportFetch implements follow.Sink.
+// ApplyConfiguration implements follow.Sink and follow.PeerSink.
+func (s followerSink) ApplyConfiguration(document *route.Document) {
+	s.process.control.ApplyConfiguration(document)
+}
+
+// ReportFetch implements follow.PeerSink.
 func (s followerSink) ReportFetch(report follow.FetchReport) { s.process.control.ReportFetch(report) }
 
+// localCopy provides the copy of the store that this instance has.
+type localCopy struct{ process *Process }
+
+// Generation implements follow.Copy.
+func (c localCopy) Generation(kind follow.Kind) follow.Generation {
+	view := c.process.control.View()
+	if kind == follow.Configuration {
+		return follow.Generation(view.Routes().Version())
+	}
+	return follow.Generation(view.Revision())
+}
+
+// ChangesSince implements snapshot.Source.
+func (c localCopy) ChangesSince(ctx context.Context, known fleet.Revision) (follow.Listing, error) {
+	return c.process.control.ChangesSince(ctx, known)
+}
+
+// Listing implements snapshot.Source.
+func (c localCopy) Listing() follow.Listing {
+	return c.process.control.View().Listing(c.process.clock.Now())
+}
+
+// Configuration implements snapshot.Source.
+func (c localCopy) Configuration() *route.Document { return c.process.control.View().Document() }
+
 // processRandom is the process-wide random source. It is safe for concurrent use.
 type processRandom struct{}
 
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -128,7 +128,13 @@
 		Sink:  followerSink{p},
 		Clock: p.clock,
 	})
-	p.copyFetcher = follow.NewCopyFetcher(follow.CopyFetcherOptions{Peers: snapshot.NewClient(), Sink: followerSink{p}, Clock: p.clock})
+	p.copyFetcher = follow.NewCopyFetcher(follow.CopyFetcherOptions{
+		Peers:  snapshot.NewClient(),
+		Sink:   followerSink{p},
+		Copy:   localCopy{p},
+		Clock:  p.clock,
+		Random: processRandom{},
+	})
 	p.serverPool = upstream.NewPool(upstream.PoolOptions{
 		Clock:       p.clock,
 		HeaderCodec: p.options.Adapter.ServerHeaderCodec(),
--- a/io/peer/snapshot/client.go
+++ b/io/peer/snapshot/client.go
@@ -1,9 +1,11 @@
 package snapshot
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"net"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -13,10 +15,11 @@
 
 	"galenaridge/core/fleet"
 	"galenaridge/core/follow"
+	"galenaridge/core/route"
 )
 
-// maxBodyBytes is the largest snapshot that the client accepts.
-const maxBodyBytes = 16 << 20
+// maxBodyBytes is the largest response that the client accepts: a part, or changes.
+const maxBodyBytes = 1 << 20
 
 // Client fetches the store copies of other instances.
 type Client struct {
@@ -60,22 +63,87 @@
 // ReceivedBytes implements follow.Peers.
 func (c *Client) ReceivedBytes() int64 { return c.receivedBytes.Load() }
 
-// Fetch implements follow.Peers. The context must have a deadline.
-func (c *Client) Fetch(ctx context.Context, peer fleet.Address, known fleet.Revision) (follow.Listing, error) {
+// FetchChanges implements follow.Peers. The context must have a deadline.
+func (c *Client) FetchChanges(ctx context.Context, peer fleet.Address, known fleet.Revision) (follow.Listing, error) {
 	var listing follow.Listing
+	err := c.get(ctx, peer, pathChanges, url.Values{paramKnown: {strconv.FormatUint(uint64(known), 10)}}, func(response *fasthttp.Response) error {
+		return decode(response.Body(), &listing)
+	})
+	if err != nil {
+		return follow.Listing{}, err
+	}
+	return listing, nil
+}
+
+// FetchPart implements follow.Peers. The context must have a deadline.
+func (c *Client) FetchPart(ctx context.Context, peer fleet.Address, request follow.PartRequest) (follow.Part, error) {
+	var part follow.Part
+	query := url.Values{
+		paramKind:       {request.Kind.String()},
+		paramGeneration: {strconv.FormatUint(uint64(request.Generation), 10)},
+		paramOffset:     {strconv.Itoa(request.Offset)},
+	}
+	err := c.get(ctx, peer, pathDocument, query, func(response *fasthttp.Response) error {
+		var err error
+		part, err = parsePart(response)
+		return err
+	})
+	return part, err
+}
+
+// parsePart returns the part in a response.
+func parsePart(response *fasthttp.Response) (follow.Part, error) {
+	header := &response.Header
+	generation, generationErr := strconv.ParseUint(string(header.Peek(headerGeneration)), 10, 64)
+	size, sizeErr := strconv.ParseUint(string(header.Peek(headerSize)), 10, 31)
+	offset, offsetErr := strconv.ParseUint(string(header.Peek(headerOffset)), 10, 31)
+	age, ageErr := time.ParseDuration(string(header.Peek(headerAge)))
+	if err := errors.Join(generationErr, sizeErr, offsetErr, ageErr); err != nil {
+		return follow.Part{}, eris.Wrap(err, "invalid header of a part")
+	}
+	if size > maxDocumentBytes {
+		return follow.Part{}, eris.Errorf("the document of %d bytes is too large", size)
+	}
+	return follow.Part{
+		Generation: follow.Generation(generation),
+		Digest:     fleet.Digest(header.Peek(headerDigest)),
+		Size:       int(size),
+		Offset:     int(offset),
+		Data:       bytes.Clone(response.Body()),
+		Age:        max(age, 0),
+	}, nil
+}
+
+// Decode implements follow.Peers.
+func (c *Client) Decode(kind follow.Kind, encoded []byte) (follow.Listing, error) {
+	var listing follow.Listing
+	if kind != follow.Configuration {
+		err := decode(encoded, &listing)
+		return listing, err
+	}
+	listing.Routes = &route.Document{}
+	err := decode(encoded, listing.Routes)
+	return listing, err
+}
+
+// get makes one call to a peer and passes a successful response to read.
+func (c *Client) get(ctx context.Context, peer fleet.Address, path string, query url.Values, read func(*fasthttp.Response) error) error {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + string(peer) + path + "?" + paramKnown + "=" + strconv.FormatUint(uint64(known), 10))
+	request.SetRequestURI("http://" + string(peer) + path + "?" + query.Encode())
 	deadline, _ := ctx.Deadline()
 	if err := c.http.DoDeadline(request, response, deadline); err != nil {
-		return listing, eris.Wrapf(err, "cannot fetch the store copy of %s", peer)
+		return eris.Wrapf(err, "cannot fetch the store copy of %s", peer)
 	}
-	if status := response.StatusCode(); status != fasthttp.StatusOK {
-		return listing, eris.Errorf("cannot fetch the store copy of %s: status %d", peer, status)
+	switch status := response.StatusCode(); status {
+	case fasthttp.StatusOK:
+		return read(response)
+	case fasthttp.StatusGone:
+		return follow.ErrCompacted
+	case fasthttp.StatusTooManyRequests:
+		return follow.ErrBusy
+	default:
+		return eris.Errorf("cannot fetch the store copy of %s: status %d", peer, status)
 	}
-	if err := json.Unmarshal(response.Body(), &listing); err != nil {
-		return follow.Listing{}, eris.Wrapf(err, "cannot decode the store copy of %s", peer)
-	}
-	return listing, nil
 }
--- /dev/null
+++ b/io/peer/snapshot/format.go
@@ -0,0 +1,72 @@
+package snapshot
+
+import (
+	"bytes"
+	"compress/flate"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"galenaridge/core/fleet"
+)
+
+const (
+	pathChanges  = "/changes"
+	pathDocument = "/document"
+
+	// paramKnown is the revision that the requesting instance already has.
+	paramKnown = "known"
+	// paramKind, paramGeneration and paramOffset name the requested part of a document.
+	paramKind       = "kind"
+	paramGeneration = "generation"
+	paramOffset     = "offset"
+
+	// Fields of the header of a part.
+	headerGeneration = "Generation"
+	headerDigest     = "Digest"
+	headerSize       = "Size"
+	headerOffset     = "Offset"
+	// headerAge is the time since the document was encoded, as text of a duration.
+	headerAge = "Since"
+
+	// partBytes is the largest part of a document.
+	partBytes = 16 << 10
+	// maxDocumentBytes is the size of the largest document, before and after compression.
+	maxDocumentBytes = 32 << 20
+)
+
+// encode returns a value as compressed JSON.
+func encode(value any) ([]byte, error) {
+	var encoded bytes.Buffer
+	compressor, err := flate.NewWriter(&encoded, flate.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot create a compressor")
+	}
+	if err := json.NewEncoder(compressor).Encode(value); err != nil {
+		return nil, eris.Wrap(err, "cannot encode a copy")
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, eris.Wrap(err, "cannot compress a copy")
+	}
+	return encoded.Bytes(), nil
+}
+
+// decode decodes a value that encode encoded.
+func decode(encoded []byte, value any) error {
+	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(encoded)), maxDocumentBytes+1))
+	if err != nil {
+		return eris.Wrap(err, "cannot decompress a copy")
+	}
+	if len(text) > maxDocumentBytes {
+		return eris.New("the copy is too large")
+	}
+	return eris.Wrap(json.Unmarshal(text, value), "cannot decode a copy")
+}
+
+func digestOf(encoded []byte) fleet.Digest {
+	sum := sha256.Sum256(encoded)
+	return fleet.Digest(hex.EncodeToString(sum[:]))
+}
--- /dev/null
+++ b/io/peer/snapshot/library.go
@@ -0,0 +1,104 @@
+package snapshot
+
+import (
+	"sync"
+	"time"
+
+	"galenaridge/core/fleet"
+	"galenaridge/core/follow"
+)
+
+const (
+	// maxEditions is the number of generations of a document that are kept, so that
+	// transfers end while the document changes.
+	maxEditions = 3
+	// maxListingAge is how long an encoded server listing is sent to instances that begin
+	// a transfer. They fetch the changes since then afterwards.
+	maxListingAge = 500 * time.Millisecond
+)
+
+// edition is one encoded generation of a document.
+type edition struct {
+	generation follow.Generation
+	digest     fleet.Digest
+	data       []byte
+	encodedAt  time.Time
+}
+
+// library holds the latest encoded generations of the documents, since many instances
+// fetch a new one at about the same time.
+type library struct {
+	source Source
+	clock  fleet.Clock
+
+	mu       sync.Mutex
+	editions map[follow.Kind][]edition
+}
+
+func newLibrary(source Source, clock fleet.Clock) *library {
+	return &library{source: source, clock: clock, editions: make(map[follow.Kind][]edition)}
+}
+
+// find returns the requested generation of a document, or the current one if that is no
+// longer kept. It returns false if there is no document.
+func (l *library) find(kind follow.Kind, generation follow.Generation) (edition, bool, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.editions[kind] {
+		if generation > 0 && e.generation == generation {
+			return e, true, nil
+		}
+	}
+	return l.current(kind)
+}
+
+// current returns the current generation of a document. The caller holds the lock, so
+// that concurrent calls share one encoding.
+func (l *library) current(kind follow.Kind) (edition, bool, error) {
+	var latest edition
+	if kept := l.editions[kind]; len(kept) > 0 {
+		latest = kept[len(kept)-1]
+	}
+	now := l.clock.Now()
+	var value any
+	generation := follow.Generation(0)
+	if kind == follow.Configuration {
+		document := l.source.Configuration()
+		if document == nil {
+			return edition{}, false, nil
+		}
+		generation, value = follow.Generation(document.Version), document
+	} else {
+		if latest.generation > 0 && now.Sub(latest.encodedAt) < maxListingAge {
+			return latest, true, nil
+		}
+		listing := l.source.Listing()
+		generation, value = follow.Generation(listing.Revision), listing
+	}
+	if generation == 0 {
+		return edition{}, false, nil
+	}
+	if kind == follow.Configuration && generation == latest.generation {
+		return latest, true, nil
+	}
+	data, err := encode(value)
+	if err != nil {
+		return edition{}, false, err
+	}
+	latest = edition{generation: generation, digest: digestOf(data), data: data, encodedAt: now}
+	l.keep(kind, latest)
+	return latest, true, nil
+}
+
+// keep adds an edition in place of one of the same generation, and drops the oldest beyond
+// maxEditions.
+func (l *library) keep(kind follow.Kind, added edition) {
+	var kept []edition
+	for _, e := range l.editions[kind] {
+		if e.generation != added.generation {
+			kept = append(kept, e)
+		}
+	}
+	kept = append(kept, added)
+	l.editions[kind] = kept[max(len(kept)-maxEditions, 0):]
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -156,6 +156,7 @@
 
 func (s *Store) handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv-key", s.serveKey)
 	mux.HandleFunc("GET /v1/kv-range", s.serveRange)
 	mux.HandleFunc("GET /v1/kv-watch", s.serveWatch)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -189,6 +190,21 @@
 	return true
 }
 
+// serveKey responds with the entry of a key, or with status 404.
+func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, exists := s.entries[r.URL.Query().Get("key")]
+	if !exists {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, struct {
+		entry
+		CurrentRevision uint64 `json:"current_rev"`
+	}{found, s.revision})
+}
+
 // serveRange responds with a page of entries in the order of their keys.
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
