--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -32,8 +32,10 @@
 	mu       sync.Mutex
 	listErr  error
 	watchErr error
-	lists    int
-	watches  int
+	// watchTakes is how long a response to a watch takes to arrive.
+	watchTakes time.Duration
+	lists      int
+	watches    int
 	// configReads counts the reads of the configuration alone.
 	configReads int
 	changes     []Change
@@ -50,9 +52,14 @@
 func (s *fakeStore) Watch(ctx context.Context, after fleet.Revision, _ time.Duration) ([]Change, fleet.Revision, error) {
 	s.mu.Lock()
 	s.watches++
-	err, changes, revision := s.watchErr, s.changes, s.revision
+	err, changes, revision, takes := s.watchErr, s.changes, s.revision, s.watchTakes
 	s.changes = nil
 	s.mu.Unlock()
+	select {
+	case <-time.After(takes):
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
 	if err != nil || len(changes) > 0 {
 		return changes, revision, err
 	}
@@ -160,6 +167,18 @@
 	target.eventually(t, "return", func(s *recordingSink) bool { return s.regained == 1 })
 }
 
+// TestFollowerSlowTransfer guards against a change that never arrives, because its transfer
+// takes longer than a watch without changes.
+func TestFollowerSlowTransfer(t *testing.T) {
+	f, source, target := startFollower(t)
+	source.set(func(s *fakeStore) {
+		s.watchTakes = watchWait + 600*time.Millisecond
+		s.changes, s.revision = []Change{{Server: &registry.Server{}}}, 11
+	})
+	f.SetEnabled(true)
+	target.eventually(t, "the change", func(s *recordingSink) bool { return s.changed == 1 && s.lost == 0 })
+}
+
 // TestFollowerAfterOutage guards against dropping live servers whose entries lapsed while
 // the store was unavailable: the listing must be marked as one after an outage.
 func TestFollowerAfterOutage(t *testing.T) {
--- a/core/follow/follower.go
+++ b/core/follow/follower.go
@@ -13,10 +13,9 @@
 	// of a watch confirms the copy, so watchWait bounds the age of the copy. A shorter
 	// time costs more, since each call to the store is paid for.
 	watchWait = 800 * time.Millisecond
-	// callTimeout bounds a watch, in addition to watchWait.
-	callTimeout = 400 * time.Millisecond
-	// listTimeout bounds a complete listing, which may have many pages.
-	listTimeout = 5 * time.Second
+	// transferTimeout bounds a call as a whole, in addition to watchWait. The store's
+	// client ends a call long before if nothing arrives.
+	transferTimeout = 10 * time.Second
 	// batchDelay is the time between a change and the next watch, so that changes
 	// made shortly after each other are read by one call.
 	batchDelay = 60 * time.Millisecond
@@ -127,7 +126,7 @@
 
 // readConfiguration reads only the configuration. A failure is left to the next request.
 func (f *Follower) readConfiguration(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	if document, err := f.options.Store.Configuration(callCtx); err == nil && document != nil {
 		f.options.Sink.ApplyConfiguration(document)
@@ -140,7 +139,7 @@
 	if !f.listed {
 		return f.readListing(ctx)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, watchWait+transferTimeout)
 	defer cancel()
 	changes, revision, err := f.options.Store.Watch(callCtx, f.revision, watchWait)
 	if errors.Is(err, ErrCompacted) {
@@ -160,7 +159,7 @@
 }
 
 func (f *Follower) readListing(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	listing, err := f.options.Store.List(callCtx)
 	if err != nil {
--- a/core/follow/source.go
+++ b/core/follow/source.go
@@ -39,7 +39,8 @@
 // a complete listing is needed.
 var ErrCompacted = errors.New("the store has dropped its history")
 
-// Store is the client of the platform's store.
+// Store is the client of the platform's store. A call fails if the store sends nothing for
+// too long, but not because a large response takes its time.
 type Store interface {
 	// List returns all entries. It may lack changes made after its revision.
 	List(ctx context.Context) (Listing, error)
--- a/io/gateway/adapter.go
+++ b/io/gateway/adapter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
 	"galenaridge/core/fleet"
@@ -32,7 +33,7 @@
 	LoadSettings() (setting.Gateway, error)
 	// NewStore returns a client of the platform's store that increments calls for
 	// each call.
-	NewStore(address fleet.Address, clock fleet.Clock, log logrus.FieldLogger, calls Counter) follow.Store
+	NewStore(address fleet.Address, clock clockwork.Clock, log logrus.FieldLogger, calls Counter) follow.Store
 	CallerHeaderParser() pipeline.HeaderParser
 	ServerHeaderCodec() upstream.HeaderCodec
 	// RegisterDirectory adds the HTTP routes for the address requests of callers and
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -124,7 +124,7 @@
 	decisions := &decisionJournal{process: p, writer: p.decisions, requestMetrics: newRequestMetrics(p.metrics), fetchMetrics: newFetchMetrics(p.metrics)}
 	storeCalls := p.metrics.NewCounter("galenaridge_store_calls_total")
 	p.follower = follow.New(follow.Options{
-		Store: p.options.Adapter.NewStore(s.StoreAddress, p.clock, p.log, storeCalls),
+		Store: p.options.Adapter.NewStore(s.StoreAddress, p.options.Clock, p.log, storeCalls),
 		Sink:  followerSink{p},
 		Clock: p.clock,
 	})
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -28,6 +28,8 @@
 	Reset
 	// Silent accepts calls and never responds.
 	Silent
+	// Stalling sends the first half of a response and then nothing.
+	Stalling
 )
 
 // entry is one revision of a key: its value, or its removal if Tombstone is set.
@@ -52,6 +54,8 @@
 	mode              Mode
 	pageSize          int
 	callCount         int
+	// failedCall is the number of the call that is refused; zero for none.
+	failedCall int
 	// changed is closed and replaced by each change, which wakes pending watches.
 	changed chan struct{}
 
@@ -66,6 +70,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for the store")
 	}
+	return Serve(listener), nil
+}
+
+// Serve starts an empty store on a listener, which it closes with the store.
+func Serve(listener net.Listener) *Store {
 	s := &Store{
 		entries:  make(map[string]entry),
 		revision: 100,
@@ -75,7 +84,7 @@
 	}
 	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: time.Second}
 	s.serving.Go(func() { _ = s.server.Serve(listener) })
-	return s, nil
+	return s
 }
 
 // Address returns the address of the store.
@@ -147,6 +156,13 @@
 	s.notifyWatches()
 }
 
+// FailCall refuses the call with a number, counted from 1, with status 503.
+func (s *Store) FailCall(number int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedCall = number
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -163,6 +179,9 @@
 		s.mu.Lock()
 		s.callCount++
 		mode := s.mode
+		if s.callCount == s.failedCall {
+			mode = Unavailable
+		}
 		s.mu.Unlock()
 		if s.applyMode(w, r, mode) {
 			return
@@ -184,6 +203,11 @@
 		}
 	case Silent:
 		<-r.Context().Done()
+	case Stalling:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(`{"items":[`))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
 	default:
 		return false
 	}
