Obey what servers say about themselves in responses

A server that leaves says so in each response (Server-Leaving), and one that sheds a request with 503 may ask for a pause (Retry-After). Both were ignored: such a server got requests until the store said that it leaves, and during the pause, also as a trial or for the floor.

Responses have notices now. The pool of a service keeps them for each incarnation of a server, also while it is not listed, leaves such servers out of every choice, and is asked again right before a request is written. If all servers of a service asked for a pause, a request is refused at once with the time until the first one returns. An attempt that ends because its server no longer takes requests no longer counts as an unreachable server.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -27,6 +27,10 @@
 	Canceled bool
 	// Draining is set if the server announced that it is leaving.
 	Draining bool
+	// RetryAfter is how long the server wants no request; zero if it did not say so.
+	RetryAfter time.Duration
+	// Denied is set if the attempt ended because the server no longer takes requests.
+	Denied bool
 	// Load is the load that the server reported; its Slots are zero if it reported
 	// none.
 	Load balance.Load
--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -61,6 +61,9 @@
 		}
 		p.recentAttempts.recordStart(now)
 		p.recentAttempts.recordFailure(now)
+		if p.pausedFor(now, options.Exclude) > 0 {
+			return nil, AllPaused
+		}
 		return nil, NoRoom
 	}
 	expectedWait := chosen.expectedWait(now, expected)
@@ -97,7 +100,7 @@
 	interval := p.trialInterval(now, options, expected)
 	maxWait := min(p.waitLimits.maxWait(now, options.Priority, options.LatencyObjective-expected), options.TimeLeft-expected/2)
 	for _, s := range p.live {
-		if excluded(options.Exclude, s.info.Incarnation) || s.knownWait(now, expected) > maxWait {
+		if excluded(options.Exclude, s.info.Incarnation) || p.notices.excludes(now, s.info.Incarnation) || s.knownWait(now, expected) > maxWait {
 			continue
 		}
 		probability := s.failureProbability(now)
--- a/core/balance/coverage.go
+++ b/core/balance/coverage.go
@@ -86,7 +86,7 @@
 	var best *server
 	lowest := 1.0
 	for _, s := range p.live {
-		if s.info.Domain != p.options.Domain || now.Before(s.cutUntil) {
+		if s.info.Domain != p.options.Domain || now.Before(s.cutUntil) || p.notices.excludes(now, s.info.Incarnation) {
 			continue
 		}
 		if now.Sub(s.lastRequestAt(now)) < interval {
--- a/core/balance/doc.go
+++ b/core/balance/doc.go
@@ -12,7 +12,10 @@
 // fails part of its requests, all servers that may be healthy get requests, so that
 // the number of servers in use stays above the floor.
 //
-// Guarantees: Pick returns only servers of the last Update. Suspected servers are used
+// A server may say in a response that it leaves, or that it wants no request for a while.
+//
+// Guarantees: Pick returns only servers of the last Update. It does not return a server
+// that said that it leaves, nor one in the pause that it asked for. Suspected servers are used
 // when no other server has room, so suspicion never makes a service unavailable.
 //
 // Not guaranteed: the attempts of other instances are known only from their reports,
--- a/core/balance/enums.go
+++ b/core/balance/enums.go
@@ -48,4 +48,6 @@
 	NoServer
 	// NoRoom means that the queue of every server is too long.
 	NoRoom
+	// AllPaused means that every server asked for a pause.
+	AllPaused
 )
--- a/core/balance/enums_enumer.go
+++ b/core/balance/enums_enumer.go
@@ -205,11 +205,11 @@
 	return err
 }
 
-const _PickResultName = "chosenno-serverno-room"
+const _PickResultName = "chosenno-serverno-roomall-paused"
 
-var _PickResultIndex = [...]uint8{0, 6, 15, 22}
+var _PickResultIndex = [...]uint8{0, 6, 15, 22, 32}
 
-const _PickResultLowerName = "chosenno-serverno-room"
+const _PickResultLowerName = "chosenno-serverno-roomall-paused"
 
 func (i PickResult) String() string {
 	if i >= PickResult(len(_PickResultIndex)-1) {
@@ -225,26 +225,30 @@
 	_ = x[Chosen-(0)]
 	_ = x[NoServer-(1)]
 	_ = x[NoRoom-(2)]
+	_ = x[AllPaused-(3)]
 }
 
-var _PickResultValues = []PickResult{Chosen, NoServer, NoRoom}
+var _PickResultValues = []PickResult{Chosen, NoServer, NoRoom, AllPaused}
 
 var _PickResultNameToValueMap = map[string]PickResult{
 	_PickResultName[0:6]:   Chosen,
 	_PickResultName[6:15]:  NoServer,
 	_PickResultName[15:22]: NoRoom,
+	_PickResultName[22:32]: AllPaused,
 }
 
 var _PickResultLowerNameToValueMap = map[string]PickResult{
 	_PickResultLowerName[0:6]:   Chosen,
 	_PickResultLowerName[6:15]:  NoServer,
 	_PickResultLowerName[15:22]: NoRoom,
+	_PickResultLowerName[22:32]: AllPaused,
 }
 
 var _PickResultNames = []string{
 	_PickResultName[0:6],
 	_PickResultName[6:15],
 	_PickResultName[15:22],
+	_PickResultName[22:32],
 }
 
 // PickResultString retrieves an enum value from the enum constants string name.
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -79,6 +79,10 @@
 type Events interface {
 	ServerSuspected(info registry.Server, cause Result, duration time.Duration, probability float64)
 	ServerCleared(info registry.Server, after time.Duration)
+	// ServerAnnouncedLeaving reports the first response in which a server said that it
+	// leaves, ServerPaused the first response of a pause that it asked for.
+	ServerAnnouncedLeaving(info registry.Server)
+	ServerPaused(info registry.Server, pause time.Duration)
 }
 
 // Options configures a Pool.
@@ -106,6 +110,7 @@
 	recentAttempts attemptCounter
 	coveredAt      time.Time
 	waitLimits     queueWaitLimits
+	notices        notices
 }
 
 // NewPool returns a pool without servers.
@@ -115,6 +120,7 @@
 		byIncarnation: make(map[registry.Incarnation]*server),
 		byKey:         make(map[ServerKey]*server),
 		durations:     make(durationEstimates),
+		notices:       make(notices),
 	}
 }
 
--- a/core/balance/pool_test.go
+++ b/core/balance/pool_test.go
@@ -17,6 +17,8 @@
 
 func (noEvents) ServerSuspected(registry.Server, Result, time.Duration, float64) {}
 func (noEvents) ServerCleared(registry.Server, time.Duration)                    {}
+func (noEvents) ServerAnnouncedLeaving(registry.Server)                          {}
+func (noEvents) ServerPaused(registry.Server, time.Duration)                     {}
 
 // seededRandom is a deterministic source of random numbers.
 type seededRandom struct{ *rand.Rand }
--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -185,11 +185,12 @@
 		Request:  request,
 		Deadline: request.Deadline,
 		MayWrite: func() bool {
-			return ctx.Err() == nil && e.options.ControlState.Usable(request.Service, chosen.Server.Incarnation)
+			return ctx.Err() == nil && e.options.ControlState.Usable(request.Service, chosen.Server.Incarnation) && chosen.MayWrite(e.options.Clock.Now())
 		},
 	})
 	now := e.options.Clock.Now()
 	result := balanceResult(response, evidence)
+	chosen.Observe(now, balance.Notice{Leaving: evidence.Draining, Pause: evidence.RetryAfter})
 	chosen.Finish(now, result, evidence.Load)
 	record := AttemptRecord{
 		Server:             chosen.Server.ID,
@@ -242,6 +243,9 @@
 	switch {
 	case r.history.MayHaveRun, last.Status != 0 && !last.Refused():
 		return last
+	case pickResult == balance.AllPaused:
+		pause := r.upstream.Servers.PausedFor(r.engine.options.Clock.Now())
+		return refuseWithRetryAfter(exchange.Overloaded, "all servers asked for a pause", max(pause, refusalRetryAfter))
 	case pickResult == balance.NoRoom:
 		return refuseWithRetryAfter(exchange.Overloaded, "the queues of all servers end too late", refusalRetryAfter)
 	case last.Status != 0 && !r.engine.options.Clock.Now().Before(r.request.Deadline):
@@ -262,7 +266,7 @@
 		return balance.Succeeded
 	case evidence.Complete:
 		return balance.Failed
-	case evidence.Canceled:
+	case evidence.Canceled, evidence.Denied:
 		return balance.Abandoned
 	case evidence.TimedOut && evidence.Written:
 		return balance.Stalled
--- a/core/dispatch/engine_test.go
+++ b/core/dispatch/engine_test.go
@@ -112,6 +112,8 @@
 
 func (noEvents) ServerSuspected(registry.Server, balance.Result, time.Duration, float64) {}
 func (noEvents) ServerCleared(registry.Server, time.Duration)                            {}
+func (noEvents) ServerAnnouncedLeaving(registry.Server)                                  {}
+func (noEvents) ServerPaused(registry.Server, time.Duration)                             {}
 
 type constantRandom struct{}
 
@@ -202,6 +204,62 @@
 	}
 }
 
+// leaving responds and says that the server leaves; pausing sheds and asks for a pause.
+func leaving(_ context.Context, a Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Response{Outcome: fleet.Done, Status: 200, Server: a.Server.ID}, attempt.Evidence{Written: true, Complete: true, Draining: true}
+}
+
+func pausing(context.Context, Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Refuse(exchange.Overloaded, "shed"), attempt.Evidence{Written: true, Declined: true, RetryAfter: 800 * time.Millisecond}
+}
+
+// TestServeAfterNotices guards against requests to servers that said that they leave or
+// that they want a pause, and against requests that wait although no server takes them.
+func TestServeAfterNotices(t *testing.T) {
+	tests := []struct {
+		name  string
+		path  string
+		steps []attemptStep
+		// statuses and attempts are those of one request after the other.
+		statuses   []int
+		attempts   int
+		retryAfter time.Duration
+	}{
+		{"leaving servers", "/write/", []attemptStep{leaving, leaving, leaving}, []int{200, 200, 200, 503}, 3, refusalRetryAfter},
+		{"paused servers", "/write/", []attemptStep{pausing, pausing, respondWith(200), respondWith(200)}, []int{503, 200, 200}, 4, 0},
+		{"all paused", "/write/", []attemptStep{pausing}, []int{503, 503, 503}, 3, 800 * time.Millisecond},
+		{"all paused, idempotent", "/read/", []attemptStep{pausing}, []int{503, 503, 503}, 3, 800 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e, sender, _ := newEngine(t, 3, ampleQuota, test.steps...)
+			startedAt := time.Now()
+			var last exchange.Response
+			for _, status := range test.statuses {
+				last = e.Serve(context.Background(), requestFor(test.path))
+				require.Equal(t, status, last.Status, last.Message)
+			}
+			require.Equal(t, test.attempts, sender.count())
+			require.Less(t, time.Since(startedAt), 100*time.Millisecond)
+			if test.retryAfter > 0 {
+				require.Equal(t, fleet.NotRun, last.Outcome)
+				require.InDelta(t, test.retryAfter, last.RetryAfter, float64(100*time.Millisecond))
+			}
+		})
+	}
+}
+
+// TestNoticeBeforeWrite guards against a request that is written to a server although
+// another response has said meanwhile that the server leaves.
+func TestNoticeBeforeWrite(t *testing.T) {
+	e, sender, _ := newEngine(t, 1, ampleQuota, leaving)
+	known := e.options.ControlState.(controlState)
+	chosen, _ := known.upstream.Servers.Pick(time.Now(), balance.PickOptions{Kind: "write", LatencyObjective: time.Second, TimeLeft: time.Second})
+	require.Equal(t, 200, e.Serve(context.Background(), requestFor("/write/")).Status)
+	e.send(context.Background(), requestFor("/write/"), time.Now(), chosen, false)
+	require.False(t, sender.sent[1].MayWrite())
+}
+
 // TestServeInTime guards against responses after the timeout of the route, and against
 // delayed refusals.
 func TestServeInTime(t *testing.T) {
--- a/core/gateway/support_test.go
+++ b/core/gateway/support_test.go
@@ -57,6 +57,8 @@
 
 func (r *recorder) ServerSuspected(registry.Server, balance.Result, time.Duration, float64) {}
 func (r *recorder) ServerCleared(registry.Server, time.Duration)                            {}
+func (r *recorder) ServerAnnouncedLeaving(registry.Server)                                  {}
+func (r *recorder) ServerPaused(registry.Server, time.Duration)                             {}
 func (r *recorder) PeerJoined(fleet.Member)                                                 {}
 func (r *recorder) RoleChanged(workset.Role, int)                                           {}
 func (r *recorder) WorkingSetChanged([]fleet.Address)                                       {}
--- a/io/decisionlog/line.go
+++ b/io/decisionlog/line.go
@@ -13,8 +13,11 @@
 
 // Events of the control state.
 const (
-	ServerSuspected   Event = "server-suspected"
-	ServerCleared     Event = "server-cleared"
+	ServerSuspected Event = "server-suspected"
+	ServerCleared   Event = "server-cleared"
+	// ServerAnnounced reports that a server said in a response that it leaves or wants a
+	// pause.
+	ServerAnnounced   Event = "server-announced"
 	ServerChanged     Event = "server-changed"
 	ServerRemoved     Event = "server-gone"
 	ListingApplied    Event = "list-read"
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -95,6 +95,16 @@
 	})
 }
 
+// ServerAnnouncedLeaving implements balance.Events.
+func (j *decisionJournal) ServerAnnouncedLeaving(server registry.Server) {
+	j.writer.Write(decisionlog.Line{Event: decisionlog.ServerAnnounced, Service: string(server.Service), Server: string(server.ID), State: "leaving"})
+}
+
+// ServerPaused implements balance.Events.
+func (j *decisionJournal) ServerPaused(server registry.Server, pause time.Duration) {
+	j.writer.Write(decisionlog.Line{Event: decisionlog.ServerAnnounced, Service: string(server.Service), Server: string(server.ID), State: "paused", DurationMS: pause.Milliseconds()})
+}
+
 // PeerJoined implements gateway.Events of core.
 func (j *decisionJournal) PeerJoined(member fleet.Member) {
 	j.writer.Write(decisionlog.Line{Event: decisionlog.PeerJoined, Peer: member.String()})
--- a/io/upstream/header_codec.go
+++ b/io/upstream/header_codec.go
@@ -42,5 +42,10 @@
 	Declined bool
 	// Misdirected reports that the request was meant for another server.
 	Misdirected bool
-	Load        balance.Load
+	// Leaving reports that the server is about to end.
+	Leaving bool
+	// RetryAfter is how long the server wants no request of this instance; zero if it did
+	// not say so.
+	RetryAfter time.Duration
+	Load       balance.Load
 }
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -81,6 +81,7 @@
 	evidence.Err = err
 	evidence.TimedOut = err.Fault == TimedOut
 	evidence.Canceled = err.Fault == Canceled
+	evidence.Denied = err.Fault == Denied
 	if evidence.Declined {
 		return exchange.Refuse(exchange.Overloaded, "the server did not run the request"), evidence
 	}
--- a/io/upstream/round_trip.go
+++ b/io/upstream/round_trip.go
@@ -148,6 +148,11 @@
 		t.mustClose = true
 	}
 	t.evidence.Load = metadata.Load
+	if !metadata.Misdirected {
+		t.evidence.Draining = metadata.Leaving
+		t.evidence.RetryAfter = metadata.RetryAfter
+		t.mustClose = t.mustClose || metadata.Leaving
+	}
 	switch {
 	case metadata.Declined:
 		t.evidence.Declined = true
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -44,8 +44,15 @@
 	Unsigned
 	// Encoded sends a response with Content-Encoding.
 	Encoded
+	// Leaving responds with status 200 and says that the server leaves.
+	Leaving
+	// Pause responds as Shed does and asks for a pause of PauseTime.
+	Pause
 )
 
+// PauseTime is the pause that Pause asks for.
+const PauseTime = 1500 * time.Millisecond
+
 // ExecutedRequest is a request that the server started to run.
 type ExecutedRequest struct {
 	ID     string
@@ -72,6 +79,7 @@
 	mu          sync.Mutex
 	fault       Fault
 	executed    []ExecutedRequest
+	arrivals    []time.Time
 	connections map[net.Conn]struct{}
 }
 
@@ -117,6 +125,13 @@
 	return append([]ExecutedRequest(nil), s.executed...)
 }
 
+// Arrivals returns the times at which requests arrived, executed or not.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
 // Close closes the listener and all connections and waits until serving has ended.
 func (s *Server) Close() {
 	_ = s.listener.Close()
@@ -177,7 +192,8 @@
 	}
 	s.mu.Lock()
 	fault := s.fault
-	if fault != Shed {
+	s.arrivals = append(s.arrivals, time.Now())
+	if fault != Shed && fault != Pause {
 		s.executed = append(s.executed, ExecutedRequest{
 			ID:       requestID,
 			Method:   request.Method,
@@ -191,6 +207,9 @@
 	if fault == Shed {
 		return writeText(conn, "HTTP/1.1 503 Service Unavailable\r\nGalenaridge-Not-Executed: 1\r\nGalenaridge-Request-Id: "+requestID+"\r\nContent-Length: 0\r\n\r\n")
 	}
+	if fault == Pause {
+		return writeText(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nGalenaridge-Not-Executed: 1\r\nRetry-After: %.1f\r\nGalenaridge-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", PauseTime.Seconds(), requestID))
+	}
 	if fault == Stall {
 		// Peek blocks until the client closes the connection.
 		_, _ = reader.Peek(1)
@@ -234,6 +253,8 @@
 		return writeText(conn, formatHead("200 OK", "another", signature, length)+"\r\n"+content)
 	case Unsigned:
 		return writeText(conn, formatHead("200 OK", id, length)+"\r\n"+content)
+	case Leaving:
+		return writeText(conn, formatHead("200 OK", id, signature, "Server-Leaving: 1", length)+"\r\n"+content)
 	case Encoded:
 		return writeText(conn, formatHead("200 OK", id, signature, "Content-Encoding: gzip", length)+"\r\n"+content)
 	default:
