Do not take an earlier refusal for the one of a request

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which a server was running; repeated, it ran twice.

It could happen here for a refusal without a request id (503 or 421): the connection accepted it as the refusal of whatever request was in flight. A refusal with the id of an earlier request was skipped already. Without an id it counts now only as the first response on a connection, where there is no earlier request; otherwise it is skipped, and the outcome is unknown if nothing else arrives.

TestPoolRefusedAgain failed for the refusal without an id.

--- a/io/upstream/pool_test.go
+++ b/io/upstream/pool_test.go
@@ -130,6 +130,35 @@
 	}
 }
 
+// TestPoolRefusedAgain guards against a request that is reported as not run, because a
+// faulty server sent the refusal of an earlier request once more on the same connection.
+func TestPoolRefusedAgain(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault backend.Fault
+	}{
+		{"refusal with the id of the earlier request", backend.RefusedAgain},
+		{"refusal without an id", backend.RefusedAgainUnnamed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, entry := newBackend(t, "i-1")
+			p := newPool(t)
+			s.SetFault(test.fault)
+			response, evidence := p.Send(context.Background(), newAttempt(entry, "r1", ""))
+			require.True(t, evidence.Declined)
+			require.Equal(t, fleet.NotRun, response.Outcome)
+			response, evidence = p.Send(context.Background(), newAttempt(entry, "r2", ""))
+			require.True(t, evidence.Complete, "%v", evidence.Err)
+			require.Equal(t, 200, response.Status)
+			require.Len(t, s.ExecutedRequests(), 1)
+			s.SetFault(backend.None)
+			_, evidence = p.Send(context.Background(), newAttempt(entry, "r3", ""))
+			require.True(t, evidence.Complete, "%v", evidence.Err)
+		})
+	}
+}
+
 // TestPoolMisdirected guards against requests that run on a different server that now
 // uses the address.
 func TestPoolMisdirected(t *testing.T) {
--- a/io/upstream/round_trip.go
+++ b/io/upstream/round_trip.go
@@ -130,7 +130,10 @@
 			t.mustClose = true
 		}
 		metadata := t.options.HeaderCodec.ParseResponse(&decoded.Header)
-		if metadata.RequestID == t.attempt.Request.ID || metadata.Declined && metadata.RequestID == "" {
+		// A refusal without an id may be an earlier one that the server sent once more,
+		// unless it is the first response on the connection.
+		refused := metadata.Declined && metadata.RequestID == "" && !t.reused
+		if metadata.RequestID == t.attempt.Request.ID || refused {
 			return t.acceptResponse(decoded, metadata)
 		}
 		t.mustClose = true
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -48,6 +48,13 @@
 	Leaving
 	// Pause responds as Shed does and asks for a pause of PauseTime.
 	Pause
+	// RefusedAgain sheds the first request of a connection, and sends that refusal once
+	// more before the response to each later one, which it runs. RefusedAgainUnnamed does
+	// the same without the id of the refused request.
+	RefusedAgain
+	RefusedAgainUnnamed
+	// Endless sends bytes without end, which SetEndless sets.
+	Endless
 )
 
 // PauseTime is the pause that Pause asks for.
@@ -78,6 +85,7 @@
 
 	mu          sync.Mutex
 	fault       Fault
+	endless     *EndlessText
 	executed    []ExecutedRequest
 	arrivals    []time.Time
 	connections map[net.Conn]struct{}
@@ -118,6 +126,40 @@
 	s.fault = fault
 }
 
+// EndlessText is a text that a server sends without end: Start once, and then Repeated
+// until the connection is closed.
+type EndlessText struct {
+	Start    string
+	Repeated string
+}
+
+// SetEndless makes the server send a text without end as the response to all later
+// requests.
+func (s *Server) SetEndless(text EndlessText) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault, s.endless = Endless, &text
+}
+
+// endlessText returns the text to send without end, or nil.
+func (s *Server) endlessText() *EndlessText {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault != Endless {
+		return nil
+	}
+	return s.endless
+}
+
+// writeEndlessly writes until the connection breaks.
+func writeEndlessly(conn net.Conn, text *EndlessText) bool {
+	block := strings.Repeat(text.Repeated, max(1, (16<<10)/len(text.Repeated)))
+	for ok := writeText(conn, text.Start); ok; {
+		ok = writeText(conn, block)
+	}
+	return false
+}
+
 // ExecutedRequests returns the requests that started to run, in their order.
 func (s *Server) ExecutedRequests() []ExecutedRequest {
 	s.mu.Lock()
@@ -169,6 +211,7 @@
 // serveConnection handles the requests of one connection, one at a time.
 func (s *Server) serveConnection(conn net.Conn) {
 	reader := bufio.NewReader(conn)
+	refusal := ""
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -178,14 +221,45 @@
 		if err != nil {
 			return
 		}
+		if again, refuses := s.refuseAgain(request, refusal); refuses {
+			if !writeText(conn, again) {
+				return
+			}
+			if refusal == "" {
+				refusal = again
+				continue
+			}
+		}
 		if !s.serveRequest(conn, reader, request, string(body)) {
 			return
 		}
 	}
 }
 
+// refuseAgain returns the refusal that a request gets first if the fault is RefusedAgain:
+// the earlier one of the connection, or its own.
+func (s *Server) refuseAgain(request *http.Request, earlier string) (string, bool) {
+	s.mu.Lock()
+	fault := s.fault
+	s.mu.Unlock()
+	if fault != RefusedAgain && fault != RefusedAgainUnnamed {
+		return "", false
+	}
+	if earlier != "" {
+		return earlier, true
+	}
+	name := "Galenaridge-Request-Id: " + request.Header.Get("Galenaridge-Request-Id") + "\r\n"
+	if fault == RefusedAgainUnnamed {
+		name = ""
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\nGalenaridge-Not-Executed: 1\r\n" + name + "Content-Length: 0\r\n\r\n", true
+}
+
 // serveRequest handles one request and reports whether the connection stays open.
 func (s *Server) serveRequest(conn net.Conn, reader *bufio.Reader, request *http.Request, body string) bool {
+	if text := s.endlessText(); text != nil {
+		return writeEndlessly(conn, text)
+	}
 	requestID := request.Header.Get("Galenaridge-Request-Id")
 	if expected := request.Header.Get("Galenaridge-Expected-Instance"); expected != "" && expected != s.id {
 		return writeText(conn, "HTTP/1.1 421 Misdirected Request\r\nGalenaridge-Instance-Id: "+s.id+"\r\nContent-Length: 0\r\n\r\n")
