Give up responses without end

A faulty server may send bytes that are no response without end, in a head or a body, until the connection is closed. An endless chunk extension occupied an attempt until its deadline (20 s in the test), since the parser skips it and counts nothing. Endless bodies were read up to 16 MB each: 24 of them at a time took 362 MB, more than a small machine has.

A connection counts the bytes that it reads for a response and gives up beyond 64 kB for the head and twice the largest body, whatever they are. The body of a response that has no signature or belongs to another request is not read, or up to 64 kB where the response may be a late one. All responses in progress share a budget of a twelfth of the memory of the machine, and the garbage collector gets a soft limit at three quarters. The client of the product's own interface has the same bound.

TestPoolEndlessResponses (a chunk extension) and TestPoolEndlessMemory failed before.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jonboulle/clockwork"
@@ -40,6 +41,7 @@
 	if err != nil {
 		return &usageError{err: err}
 	}
+	limitMemory(settings.Capacity.MemoryMB)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -66,6 +68,18 @@
 	return err
 }
 
+// softMemoryShare is the share of the memory of the process at which the garbage collector
+// works harder. The rest is for what it does not see.
+const softMemoryShare = 0.75
+
+// limitMemory sets a soft limit for the heap, so that garbage alone does not exceed the
+// memory of the process. Nothing is limited if the memory is not known.
+func limitMemory(memoryMB float64) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(softMemoryShare * memoryMB * 1e6))
+	}
+}
+
 // forwardHangups requests a reload of the settings at each hangup signal.
 func forwardHangups(ctx context.Context, hangups <-chan os.Signal, reload chan<- struct{}) {
 	for {
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -139,6 +139,8 @@
 		Clock:       p.clock,
 		HeaderCodec: p.options.Adapter.ServerHeaderCodec(),
 		Domain:      s.Domain,
+		// A response in progress needs several times its bytes until it is collected.
+		MemoryBudget: int(s.Capacity.MemoryMB * 1e6 / memoryPerResponseByte),
 	})
 	p.engine = dispatch.New(dispatch.Options{ControlState: controlState{p}, Sender: p.serverPool, Clock: p.clock, Journal: decisions})
 	p.control = core.New(core.Options{
@@ -180,6 +182,10 @@
 	return listener, eris.Wrapf(err, "cannot listen for %s on %s", name, address)
 }
 
+// memoryPerResponseByte is the share of the memory that responses in progress may use, as
+// the divisor of the memory of the process.
+const memoryPerResponseByte = 12
+
 func newIncarnation() (fleet.Incarnation, error) {
 	var random [8]byte
 	if _, err := rand.Read(random[:]); err != nil {
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -32,11 +32,22 @@
 // ReadResponse reads one whole response with a body of at most maxBodyBytes.
 // response.SkipBody must be set for a response to HEAD.
 func ReadResponse(response *fasthttp.Response, reader *bufio.Reader, maxBodyBytes int, framing Framing) error {
-	header := &response.Header
-	header.SetNoDefaultContentType(true)
-	if err := readHeader(header, reader); err != nil {
+	if err := ReadHeader(response, reader); err != nil {
 		return err
 	}
+	return ReadBody(response, reader, maxBodyBytes, framing)
+}
+
+// ReadHeader reads the header of one response.
+func ReadHeader(response *fasthttp.Response, reader *bufio.Reader) error {
+	response.Header.SetNoDefaultContentType(true)
+	return readHeader(&response.Header, reader)
+}
+
+// ReadBody reads the body that follows a header. response.SkipBody must be set for a
+// response to HEAD.
+func ReadBody(response *fasthttp.Response, reader *bufio.Reader, maxBodyBytes int, framing Framing) error {
+	header := &response.Header
 	if response.SkipBody || StatusHasNoBody(header.StatusCode()) {
 		return nil
 	}
--- a/io/setting/gateway.go
+++ b/io/setting/gateway.go
@@ -59,6 +59,9 @@
 	Cores float64
 	// LinkMbps is the bandwidth of the network link in megabits per second.
 	LinkMbps float64
+	// MemoryMB is the memory that the process may use in megabytes; zero if it is not
+	// known.
+	MemoryMB float64
 }
 
 // DefaultBounds returns the bounds for a platform that does not set them.
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -31,12 +31,14 @@
 	// firstReadErr is the first read error of the socket. It is kept because fasthttp
 	// wraps some errors in a way that hides them from errors.Is.
 	firstReadErr  error
+	budget        readBudget
 	requestBuffer []byte
 	isClosed      atomic.Bool
 }
 
 func newConn(socket net.Conn, maxHeaderBytes int) *conn {
 	c := &conn{socket: socket}
+	c.budget.reset()
 	if described, ok := socket.(syscall.Conn); ok {
 		c.rawConn, _ = described.SyscallConn()
 	}
@@ -78,9 +80,13 @@
 	}
 }
 
-// Read reads from the socket and records its first error.
+// Read reads from the socket and records its first error. It fails when the bytes of a
+// response exceed the budget.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.socket.Read(p)
+	if budgetErr := c.budget.use(n); budgetErr != nil {
+		n, err = 0, budgetErr
+	}
 	if err != nil && c.firstReadErr == nil {
 		c.firstReadErr = err
 	}
@@ -130,6 +136,8 @@
 	decoded := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(decoded)
 	decoded.SkipBody = attempt.Request.Method == fasthttp.MethodHead
+	defer c.budget.reset()
+	c.budget.allowBody(options.MaxBodyBytes)
 	if err := http1.ReadResponse(decoded, c.reader, options.MaxBodyBytes, http1.SelfDelimited); err != nil {
 		return none, c.responseError(ctx, err)
 	}
@@ -191,6 +199,8 @@
 func (c *conn) responseError(ctx context.Context, err error) *Error {
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	switch {
+	case errors.Is(c.firstReadErr, errEndless), errors.Is(c.firstReadErr, errMemory):
+		return &Error{Fault: Oversized, cause: c.firstReadErr}
 	case c.firstReadErr != nil:
 		return c.socketError(ctx, c.firstReadErr)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &smallBuffer):
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -46,12 +46,15 @@
 	HeaderCodec HeaderCodec
 	// Domain is the failure domain of this instance.
 	Domain fleet.Domain
+	// MemoryBudget bounds the bytes of all responses in progress; 16 MiB by default.
+	MemoryBudget int
 }
 
 // Pool sends requests to servers over connections that it opens as needed. Its
 // methods may be called concurrently.
 type Pool struct {
 	options PoolOptions
+	memory  memoryBudget
 
 	mu          sync.Mutex
 	idleConns   map[registry.Incarnation][]idleConn
@@ -68,7 +71,14 @@
 
 // NewPool returns a pool without connections.
 func NewPool(options PoolOptions) *Pool {
-	return &Pool{options: options, idleConns: make(map[registry.Incarnation][]idleConn)}
+	if options.MemoryBudget <= 0 {
+		options.MemoryBudget = defaultMemoryBudget
+	}
+	return &Pool{
+		options:   options,
+		memory:    memoryBudget{limit: int64(options.MemoryBudget)},
+		idleConns: make(map[registry.Incarnation][]idleConn),
+	}
 }
 
 // Send implements dispatch.Sender. It makes one attempt and never retries.
@@ -105,6 +115,7 @@
 	stop := context.AfterFunc(ctx, c.close)
 	t := &roundTrip{conn: c, attempt: request, options: p.options, reused: reused, evidence: evidence}
 	response, err := t.run(ctx)
+	c.budget.reset()
 	if !stop() || (err != nil && !evidence.Declined) || t.mustClose {
 		c.close()
 		return response, err
@@ -178,6 +189,7 @@
 		dialer:         net.Dialer{KeepAlive: -1, Control: setUnackedTimeout},
 	})
 	if err == nil {
+		c.budget.memory = &p.memory
 		p.countOpened()
 	}
 	return c, err
--- a/io/upstream/round_trip.go
+++ b/io/upstream/round_trip.go
@@ -20,6 +20,8 @@
 	// maxLateResponses is the maximum number of late responses to earlier requests
 	// that are skipped on a reused connection.
 	maxLateResponses = 2
+	// maxSkippedBodyBytes is the largest body of a refusal or of a late response.
+	maxSkippedBodyBytes = 64 << 10
 	// maxSyncWriteBytes is the size of the largest request that is written completely
 	// before the response is read. A server may respond to a longer request before it
 	// has read all of it, and then waits for the rest.
@@ -123,25 +125,57 @@
 	for range maxLateResponses + 1 {
 		decoded.Reset()
 		decoded.SkipBody = t.attempt.Request.Method == fasthttp.MethodHead
-		if err := http1.ReadResponse(decoded, t.conn.reader, poolMaxBodyBytes, http1.AllowCloseDelimited); err != nil {
+		t.conn.budget.reset()
+		if err := http1.ReadHeader(decoded, t.conn.reader); err != nil {
 			return exchange.Response{}, t.conn.responseError(ctx, err)
 		}
 		if decoded.ConnectionClose() {
 			t.mustClose = true
 		}
 		metadata := t.options.HeaderCodec.ParseResponse(&decoded.Header)
-		// A refusal without an id may be an earlier one that the server sent once more,
-		// unless it is the first response on the connection.
-		refused := metadata.Declined && metadata.RequestID == "" && !t.reused
-		if metadata.RequestID == t.attempt.Request.ID || refused {
+		accepted, err := t.checkHeader(decoded, metadata)
+		if err != nil {
+			return exchange.Response{}, err
+		}
+		maxBodyBytes := maxSkippedBodyBytes
+		if accepted && !metadata.Declined {
+			maxBodyBytes = poolMaxBodyBytes
+		}
+		t.conn.budget.allowBody(maxBodyBytes)
+		if err := http1.ReadBody(decoded, t.conn.reader, maxBodyBytes, http1.AllowCloseDelimited); err != nil {
+			return exchange.Response{}, t.conn.responseError(ctx, err)
+		}
+		if accepted {
 			return t.acceptResponse(decoded, metadata)
 		}
+	}
+	return exchange.Response{}, errOtherRequest()
+}
+
+func errOtherRequest() *Error {
+	return &Error{Fault: Malformed, cause: eris.New("the response belongs to another request")}
+}
+
+// checkHeader reports whether a response belongs to this request. It returns an error if
+// the body need not be read, because the response is not one of the server's application
+// or cannot be a late response to an earlier request.
+func (t *roundTrip) checkHeader(decoded *fasthttp.Response, metadata ResponseMetadata) (accepted bool, _ *Error) {
+	// A refusal without an id may be an earlier one that the server sent once more, unless
+	// it is the first response on the connection.
+	refused := metadata.Declined && metadata.RequestID == "" && !t.reused
+	switch {
+	case metadata.RequestID != t.attempt.Request.ID && !refused:
 		t.mustClose = true
 		if !t.reused {
-			break
+			return false, errOtherRequest()
 		}
+		return false, nil
+	case !metadata.Declined && (!metadata.Signed || len(decoded.Header.ContentEncoding()) > 0):
+		t.mustClose = true
+		return false, &Error{Fault: Malformed, cause: eris.Errorf("status %d without a signature or with an encoding", decoded.StatusCode())}
+	default:
+		return true, nil
 	}
-	return exchange.Response{}, &Error{Fault: Malformed, cause: eris.New("the response belongs to another request")}
 }
 
 // acceptResponse converts a response to this request and sets the evidence. Only
@@ -156,15 +190,11 @@
 		t.evidence.RetryAfter = metadata.RetryAfter
 		t.mustClose = t.mustClose || metadata.Leaving
 	}
-	switch {
-	case metadata.Declined:
+	if metadata.Declined {
 		t.evidence.Declined = true
 		t.evidence.Misdirected = metadata.Misdirected
 		t.mustClose = t.mustClose || metadata.Misdirected
 		return exchange.Response{}, &Error{Fault: NotRun, cause: eris.Errorf("status %d", decoded.StatusCode())}
-	case !metadata.Signed, len(decoded.Header.ContentEncoding()) > 0:
-		t.mustClose = true
-		return exchange.Response{}, &Error{Fault: Malformed, cause: eris.Errorf("status %d without a signature or with an encoding", decoded.StatusCode())}
 	}
 	t.evidence.Complete = true
 	response := copyResponse(decoded, noneReserved)
