--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -49,9 +49,9 @@
 	// Pause responds as Shed does and asks for a pause of PauseTime.
 	Pause
 	// RefusedAgain sheds the first request of a connection, and sends that refusal once
-	// more before the response to each later one, which it runs. RefusedAgainUnnamed does
-	// the same without the id of the refused request.
+	// more before the response to each later one, which it runs.
 	RefusedAgain
+	// RefusedAgainUnnamed is RefusedAgain without the id of the refused request.
 	RefusedAgainUnnamed
 	// Endless sends bytes without end, which SetEndless sets.
 	Endless
--- a/tests/integration/gateway_test.go
+++ b/tests/integration/gateway_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,7 +37,7 @@
 
 // gatewayInstance is an instance with its addresses and its current process.
 type gatewayInstance struct {
-	name, callerAddress, readinessAddress, directoryAddress, settingsPath string
+	name, callerAddress, readinessAddress, directoryAddress, operatorAddress, settingsPath string
 	// linkAddress is the address of the link to callerAddress; empty without one.
 	linkAddress string
 	command     *exec.Cmd
@@ -84,7 +85,8 @@
 		addressAt := func(offset int) string { return fmt.Sprintf("%s:%d", ip, basePort+offset) }
 		instance := &gatewayInstance{
 			name: fmt.Sprintf("edge-%c-%d", 'a'+i%2, i), callerAddress: addressAt(0), readinessAddress: addressAt(1), directoryAddress: addressAt(2),
-			settingsPath: filepath.Join(dir, fmt.Sprintf("settings-%d.yaml", i)),
+			operatorAddress: addressAt(5),
+			settingsPath:    filepath.Join(dir, fmt.Sprintf("settings-%d.yaml", i)),
 		}
 		seed := fmt.Sprintf("127.0.%d.1:%d", 10+os.Getpid()%200, basePort+3)
 		text := fmt.Sprintf(`node: %q
@@ -158,6 +160,27 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// gauge returns the value of a metric of an instance, or -1 if it has none.
+func (f *gatewayFleet) gauge(instance *gatewayInstance, name string) float64 {
+	response, err := http.Get("http://" + instance.operatorAddress + "/metrics")
+	if err != nil {
+		return -1
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return -1
+	}
+	for line := range strings.Lines(string(content)) {
+		if text, found := strings.CutPrefix(line, name+" "); found {
+			value, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+			require.NoError(f.t, err)
+			return value
+		}
+	}
+	return -1
+}
+
 // resolve returns the addresses that the directory of an instance lists for a
 // zone; nil if the request fails.
 func (f *gatewayFleet) resolve(instance *gatewayInstance, zone string) []string {
