Follow the platform's list past an odd entry

Entries are decoded one by one now. Those that cannot be used are left out and their number is logged once.

--- a/io/platform/reader.go
+++ b/io/platform/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/url"
 	"strconv"
 	"strings"
@@ -108,7 +107,8 @@
 	if err != nil {
 		return fleet.Listing{}, err
 	}
-	return decodeListing(result.value)
+	listing, _, err := decodeListing(result.value)
+	return listing, err
 }
 
 // read reads a value once, on a new connection.
@@ -134,12 +134,3 @@
 	}
 	return r.pathPrefix + path + "?after=" + strconv.FormatUint(uint64(after), 10) + "&wait=" + holdTime.String()
 }
-
-// decodeListing decodes the platform's listing. An error has the Fault Invalid.
-func decodeListing(value []byte) (fleet.Listing, error) {
-	var listing fleet.Listing
-	if err := json.Unmarshal(value, &listing); err != nil {
-		return fleet.Listing{}, &Error{Fault: Invalid, cause: err}
-	}
-	return listing, nil
-}
--- a/io/platform/watcher.go
+++ b/io/platform/watcher.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
 	"galenaridge/core/fleet"
@@ -76,15 +77,22 @@
 			return nil
 		},
 	}
+	oddEntries := logging.NewFailureLog(options.Log, options.Clock, "reading all entries of the list")
 	listingSource := &source{
 		path: pathList, holdTime: options.ListWait, minInterval: listMinInterval, connection: reader.newConnection(),
 		failures: logging.NewFailureLog(options.Log, options.Clock, "watch of the list"),
 		deliver: func(result pollResult) error {
-			listing, err := decodeListing(result.value)
-			if err == nil {
-				sink.HandleListing(listing)
+			listing, leftOut, err := decodeListing(result.value)
+			if err != nil {
+				return err
 			}
-			return err
+			if leftOut > 0 {
+				oddEntries.RecordFailure(eris.Errorf("%d entries cannot be used", leftOut))
+			} else {
+				oddEntries.RecordSuccess()
+			}
+			sink.HandleListing(listing)
+			return nil
 		},
 	}
 	return &Watcher{reader: reader, sources: []*source{configSource, listingSource}, enabled: make(chan struct{})}, nil
