--- a/core/control/documents.go
+++ b/core/control/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"galenaridge/core/config"
@@ -109,19 +110,36 @@
 	return PlatformAge(max(now.Sub(n.platformReadAt), 0))
 }
 
-// fetchDocuments requests newer documents from the peer in the event. Only one
-// fetch runs at a time.
+// A known version or revision that is higher than any other asks a peer not to send the
+// document.
+const (
+	skipConfig  = fleet.Version(math.MaxUint64)
+	skipListing = fleet.Revision(math.MaxUint64)
+)
+
+// fetchDocuments requests newer documents from the peer in the event. The configuration
+// and the listing are fetched apart, so that a change of the listing does not wait for a
+// large configuration. Only one fetch of each runs at a time.
 func (n *node) fetchDocuments(event member.Event) {
-	view := n.config.View()
-	if n.fetching || (event.Config.Version <= view.Version() && event.Config.ListingRevision <= n.listing.Revision) {
+	to := member.Peer{Member: event.Member, Address: event.PeerAddress}
+	if version := n.config.View().Version(); event.Config.Version > version {
+		n.fetch(&n.fetchingConfig, to, KnownDocuments{ConfigVersion: version, ListingRevision: skipListing})
+	}
+	if event.Config.ListingRevision > n.listing.Revision {
+		n.fetch(&n.fetchingListing, to, KnownDocuments{ConfigVersion: skipConfig, ListingRevision: n.listing.Revision})
+	}
+}
+
+// fetch requests documents from a peer unless the fetch that the flag stands for is
+// running.
+func (n *node) fetch(running *bool, to member.Peer, known KnownDocuments) {
+	if *running {
 		return
 	}
-	n.fetching = true
-	to := member.Peer{Member: event.Member, Address: event.PeerAddress}
-	known := KnownDocuments{ConfigVersion: view.Version(), ListingRevision: n.listing.Revision}
+	*running = true
 	call := func(ctx context.Context) (Documents, error) { return n.options.Peers.Fetch(ctx, to, known) }
 	callAsync(n, fetchTimeout, call, func(n *node, now time.Time, documents Documents, err error) {
-		n.fetching = false
+		*running = false
 		if err != nil {
 			return
 		}
--- a/core/control/fleet_test.go
+++ b/core/control/fleet_test.go
@@ -60,6 +60,8 @@
 	ended   conc.WaitGroup
 	// watching is true while the platform watch is enabled.
 	watching atomic.Bool
+	// configStuck makes fetches that would return a configuration end with a timeout.
+	configStuck atomic.Bool
 	// versions holds the versions of the adopted configurations in order.
 	mu        sync.Mutex
 	versions  []fleet.Version
@@ -143,12 +145,16 @@
 	return true, nil
 }
 
-func (l links) Fetch(_ context.Context, at member.Peer, known control.KnownDocuments) (control.Documents, error) {
+func (l links) Fetch(ctx context.Context, at member.Peer, known control.KnownDocuments) (control.Documents, error) {
 	to, err := l.peerAt(at.Address)
 	if err != nil {
 		return control.Documents{}, err
 	}
 	view := to.View()
+	if l.configStuck.Load() && view.Config.Version() > known.ConfigVersion {
+		<-ctx.Done()
+		return control.Documents{}, ctx.Err()
+	}
 	var documents control.Documents
 	if view.Config.Version() > known.ConfigVersion {
 		document := view.Config.Document()
--- a/core/control/loop_test.go
+++ b/core/control/loop_test.go
@@ -48,6 +48,21 @@
 	awaitOwned(t, all, all, servers)
 }
 
+// TestListingDuringConfigTransfer guards against an instance that keeps using a server that
+// leaves, because a configuration that does not arrive is fetched with the listing.
+func TestListingDuringConfigTransfer(t *testing.T) {
+	t.Parallel()
+	_, all := startFleet(t, 3, 3)
+	awaitOwned(t, all, all, 3)
+	slow := all[2]
+	slow.configStuck.Store(true)
+	all[0].offer(t, document(2, svc), listing(2, 3, 2))
+	require.Eventually(t, func() bool { return slow.View().Listing.Revision == 2 }, waitTimeout, pollInterval)
+	require.Equal(t, fleet.Version(1), slow.View().Config.Version())
+	slow.configStuck.Store(false)
+	require.Eventually(t, func() bool { return slow.View().Config.Version() == 2 }, waitTimeout, pollInterval)
+}
+
 // TestConfiguration guards against the adoption of an older version, and against an
 // instance that keeps an old configuration or becomes ready with one.
 func TestConfiguration(t *testing.T) {
--- a/core/control/node.go
+++ b/core/control/node.go
@@ -43,7 +43,9 @@
 	hasLease         bool
 	leaving          bool
 	watchingPlatform bool
-	fetching         bool
+	// fetchingConfig and fetchingListing are set while a peer is asked for that document.
+	fetchingConfig  bool
+	fetchingListing bool
 	// newestVersion is the highest configuration version that this instance
 	// adopted or a peer reported, and newestReportedAt when a peer last reported
 	// it.
