--- a/core/follow/source.go
+++ b/core/follow/source.go
@@ -11,12 +11,11 @@
 )
 
 // Change is the decoded change of one entry of the store. Exactly one field is set.
-// The JSON names of a Change and of the types in it are sent between instances.
 type Change struct {
 	// Server is a new or changed server.
 	Server *registry.Server
 	// Removed is a server whose entry was removed or cannot be decoded.
-	Removed fleet.ServerID `json:"Gone"`
+	Removed fleet.ServerID
 	// Routes is a new configuration.
 	Routes *route.Document
 }
@@ -25,7 +24,7 @@
 // listing of a peer has no Routes, since the configuration is fetched apart.
 type Listing struct {
 	Servers  []registry.Server
-	Routes   *route.Document `json:",omitempty"`
+	Routes   *route.Document
 	Revision fleet.Revision
 	// Age is the time since the listing was confirmed; zero if it comes from the store
 	// itself.
--- a/core/registry/server.go
+++ b/core/registry/server.go
@@ -13,7 +13,7 @@
 // Incarnation identifies one run of a server process.
 type Incarnation struct {
 	ID        fleet.ServerID
-	StartedAt StartTime `json:"Born"`
+	StartedAt StartTime
 }
 
 // Server is an entry of the server listing.
@@ -25,5 +25,5 @@
 	Slots    fleet.Slots
 	Presence fleet.Presence
 	// WarmAt is the time at which the server reaches its full speed.
-	WarmAt time.Time `json:"Warm"`
+	WarmAt time.Time
 }
--- a/core/route/document.go
+++ b/core/route/document.go
@@ -24,22 +24,22 @@
 type Service struct {
 	Name fleet.ServiceName
 	// HealthPath is the path of the health check.
-	HealthPath string `json:"Health"`
+	HealthPath string
 	// MaxConns is the number of connections that one server accepts from all callers
 	// together.
-	MaxConns fleet.Conns `json:"Conns"`
+	MaxConns fleet.Conns
 }
 
 // Limits limits what callers may send.
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes are sizes in bytes.
-	MaxHeaderBytes int `json:"Header"`
-	MaxBodyBytes   int `json:"Body"`
+	MaxHeaderBytes int
+	MaxBodyBytes   int
 	// HeaderTimeout is the longest time in which the header of a request must arrive.
-	HeaderTimeout time.Duration `json:"HeaderWait"`
+	HeaderTimeout time.Duration
 	// IdleTimeout is the longest time that a connection may stay open without a
 	// request.
-	IdleTimeout time.Duration `json:"Idle"`
+	IdleTimeout time.Duration
 }
 
 // Route defines how requests below a path prefix of a host are handled.
@@ -53,10 +53,10 @@
 	Timeout time.Duration
 	// LatencyObjective is the response time to aim for; later responses are worth
 	// less.
-	LatencyObjective time.Duration `json:"Objective"`
+	LatencyObjective time.Duration
 	Priority         Priority
 	// MaxAttempts is the largest number of servers that one request is sent to.
-	MaxAttempts int `json:"Attempts"`
+	MaxAttempts int
 	Backends    []Backend
 }
 
--- a/io/peer/snapshot/client.go
+++ b/io/peer/snapshot/client.go
@@ -15,7 +15,7 @@
 
 	"galenaridge/core/fleet"
 	"galenaridge/core/follow"
-	"galenaridge/core/route"
+	"galenaridge/io/peer/peerpb"
 )
 
 // maxBodyBytes is the largest response that the client accepts: a part, or changes.
@@ -66,8 +66,9 @@
 // FetchChanges implements follow.Peers. The context must have a deadline.
 func (c *Client) FetchChanges(ctx context.Context, peer fleet.Address, known fleet.Revision) (follow.Listing, error) {
 	var listing follow.Listing
-	err := c.get(ctx, peer, pathChanges, url.Values{paramKnown: {strconv.FormatUint(uint64(known), 10)}}, func(response *fasthttp.Response) error {
-		return decode(response.Body(), &listing)
+	err := c.get(ctx, peer, pathChanges, url.Values{paramKnown: {strconv.FormatUint(uint64(known), 10)}}, func(response *fasthttp.Response) (err error) {
+		listing, err = decodeServers(response.Body())
+		return err
 	})
 	if err != nil {
 		return follow.Listing{}, err
@@ -116,14 +117,23 @@
 
 // Decode implements follow.Peers.
 func (c *Client) Decode(kind follow.Kind, encoded []byte) (follow.Listing, error) {
-	var listing follow.Listing
 	if kind != follow.Configuration {
-		err := decode(encoded, &listing)
-		return listing, err
+		return decodeServers(encoded)
+	}
+	var message peerpb.Routes
+	if err := decode(encoded, &message); err != nil {
+		return follow.Listing{}, err
+	}
+	return follow.Listing{Routes: fromRoutes(&message)}, nil
+}
+
+// decodeServers decodes a server listing or the changes of one.
+func decodeServers(encoded []byte) (follow.Listing, error) {
+	var message peerpb.Servers
+	if err := decode(encoded, &message); err != nil {
+		return follow.Listing{}, err
 	}
-	listing.Routes = &route.Document{}
-	err := decode(encoded, listing.Routes)
-	return listing, err
+	return fromServers(&message)
 }
 
 // get makes one call to a peer and passes a successful response to read.
--- /dev/null
+++ b/io/peer/snapshot/convert.go
@@ -0,0 +1,158 @@
+package snapshot
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"galenaridge/core/fleet"
+	"galenaridge/core/follow"
+	"galenaridge/core/registry"
+	"galenaridge/core/route"
+	"galenaridge/io/peer/peerpb"
+)
+
+func toServers(listing follow.Listing) *peerpb.Servers {
+	message := &peerpb.Servers{Revision: uint64(listing.Revision), Age: int64(listing.Age), Partial: listing.Partial}
+	for i := range listing.Servers {
+		message.Servers = append(message.Servers, toServer(&listing.Servers[i]))
+	}
+	for _, change := range listing.Changes {
+		switch {
+		case change.Server != nil:
+			message.Changes = append(message.Changes, &peerpb.Change{Kind: &peerpb.Change_Server{Server: toServer(change.Server)}})
+		case change.Removed != "":
+			message.Changes = append(message.Changes, &peerpb.Change{Kind: &peerpb.Change_Removed{Removed: string(change.Removed)}})
+		}
+	}
+	return message
+}
+
+func toServer(server *registry.Server) *peerpb.ListedServer {
+	message := &peerpb.ListedServer{
+		Id:      string(server.ID),
+		Born:    int64(server.StartedAt),
+		Service: string(server.Service),
+		Domain:  string(server.Domain),
+		Address: string(server.Address),
+		Slots:   int64(server.Slots),
+		Leaving: server.Presence == fleet.Leaving,
+	}
+	if !server.WarmAt.IsZero() {
+		message.Warm = server.WarmAt.UnixNano()
+	}
+	return message
+}
+
+// fromServers returns the listing in a message. It returns an error if a change has no
+// server.
+func fromServers(message *peerpb.Servers) (follow.Listing, error) {
+	listing := follow.Listing{
+		Revision: fleet.Revision(message.GetRevision()),
+		Age:      max(time.Duration(message.GetAge()), 0),
+		Partial:  message.GetPartial(),
+	}
+	for _, server := range message.GetServers() {
+		listing.Servers = append(listing.Servers, fromServer(server))
+	}
+	for _, change := range message.GetChanges() {
+		switch kind := change.GetKind().(type) {
+		case *peerpb.Change_Server:
+			server := fromServer(kind.Server)
+			listing.Changes = append(listing.Changes, follow.Change{Server: &server})
+		case *peerpb.Change_Removed:
+			listing.Changes = append(listing.Changes, follow.Change{Removed: fleet.ServerID(kind.Removed)})
+		default:
+			return follow.Listing{}, eris.New("a change has no server")
+		}
+	}
+	return listing, nil
+}
+
+func fromServer(message *peerpb.ListedServer) registry.Server {
+	server := registry.Server{
+		Incarnation: registry.Incarnation{ID: fleet.ServerID(message.GetId()), StartedAt: registry.StartTime(message.GetBorn())},
+		Service:     fleet.ServiceName(message.GetService()),
+		Domain:      fleet.Domain(message.GetDomain()),
+		Address:     fleet.Address(message.GetAddress()),
+		Slots:       fleet.Slots(message.GetSlots()),
+	}
+	if message.GetLeaving() {
+		server.Presence = fleet.Leaving
+	}
+	if message.GetWarm() != 0 {
+		server.WarmAt = time.Unix(0, message.GetWarm())
+	}
+	return server
+}
+
+func toRoutes(document *route.Document) *peerpb.Routes {
+	message := &peerpb.Routes{
+		Version:    uint64(document.Version),
+		Header:     int64(document.Limits.MaxHeaderBytes),
+		Body:       int64(document.Limits.MaxBodyBytes),
+		HeaderWait: int64(document.Limits.HeaderTimeout),
+		Idle:       int64(document.Limits.IdleTimeout),
+	}
+	for _, s := range document.Services {
+		message.Services = append(message.Services, &peerpb.RouteService{Name: string(s.Name), Health: s.HealthPath, Conns: int64(s.MaxConns)})
+	}
+	for i := range document.Routes {
+		message.Routes = append(message.Routes, toRoute(&document.Routes[i]))
+	}
+	return message
+}
+
+func toRoute(r *route.Route) *peerpb.Route {
+	message := &peerpb.Route{
+		Name:       r.Name,
+		Host:       r.Host,
+		Prefix:     r.Prefix,
+		Idempotent: r.Idempotent,
+		Timeout:    int64(r.Timeout),
+		Objective:  int64(r.LatencyObjective),
+		Priority:   int64(r.Priority),
+		Attempts:   int64(r.MaxAttempts),
+	}
+	for _, b := range r.Backends {
+		message.Backends = append(message.Backends, &peerpb.RouteBackend{Service: string(b.Service), Weight: int64(b.Weight)})
+	}
+	return message
+}
+
+// fromRoutes returns the configuration in a message, which is not validated.
+func fromRoutes(message *peerpb.Routes) *route.Document {
+	document := &route.Document{
+		Version: fleet.Version(message.GetVersion()),
+		Limits: route.Limits{
+			MaxHeaderBytes: int(message.GetHeader()),
+			MaxBodyBytes:   int(message.GetBody()),
+			HeaderTimeout:  time.Duration(message.GetHeaderWait()),
+			IdleTimeout:    time.Duration(message.GetIdle()),
+		},
+	}
+	for _, s := range message.GetServices() {
+		document.Services = append(document.Services, route.Service{Name: fleet.ServiceName(s.GetName()), HealthPath: s.GetHealth(), MaxConns: fleet.Conns(s.GetConns())})
+	}
+	for _, r := range message.GetRoutes() {
+		document.Routes = append(document.Routes, fromRoute(r))
+	}
+	return document
+}
+
+func fromRoute(message *peerpb.Route) route.Route {
+	r := route.Route{
+		Name:             message.GetName(),
+		Host:             message.GetHost(),
+		Prefix:           message.GetPrefix(),
+		Idempotent:       message.GetIdempotent(),
+		Timeout:          time.Duration(message.GetTimeout()),
+		LatencyObjective: time.Duration(message.GetObjective()),
+		Priority:         route.Priority(message.GetPriority()),
+		MaxAttempts:      int(message.GetAttempts()),
+	}
+	for _, b := range message.GetBackends() {
+		r.Backends = append(r.Backends, route.Backend{Service: fleet.ServiceName(b.GetService()), Weight: int(b.GetWeight())})
+	}
+	return r
+}
--- a/io/peer/snapshot/format.go
+++ b/io/peer/snapshot/format.go
@@ -5,10 +5,10 @@
 	"compress/flate"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"io"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"galenaridge/core/fleet"
 )
@@ -38,15 +38,19 @@
 	maxDocumentBytes = 32 << 20
 )
 
-// encode returns a value as compressed JSON.
-func encode(value any) ([]byte, error) {
+// encode returns a message as compressed protobuf. Equal messages have equal encodings.
+func encode(message proto.Message) ([]byte, error) {
+	plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot encode a copy")
+	}
 	var encoded bytes.Buffer
 	compressor, err := flate.NewWriter(&encoded, flate.BestSpeed)
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot create a compressor")
 	}
-	if err := json.NewEncoder(compressor).Encode(value); err != nil {
-		return nil, eris.Wrap(err, "cannot encode a copy")
+	if _, err := compressor.Write(plain); err != nil {
+		return nil, eris.Wrap(err, "cannot compress a copy")
 	}
 	if err := compressor.Close(); err != nil {
 		return nil, eris.Wrap(err, "cannot compress a copy")
@@ -54,16 +58,16 @@
 	return encoded.Bytes(), nil
 }
 
-// decode decodes a value that encode encoded.
-func decode(encoded []byte, value any) error {
-	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(encoded)), maxDocumentBytes+1))
+// decode decodes a message that encode encoded.
+func decode(encoded []byte, message proto.Message) error {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(encoded)), maxDocumentBytes+1))
 	if err != nil {
 		return eris.Wrap(err, "cannot decompress a copy")
 	}
-	if len(text) > maxDocumentBytes {
+	if len(plain) > maxDocumentBytes {
 		return eris.New("the copy is too large")
 	}
-	return eris.Wrap(json.Unmarshal(text, value), "cannot decode a copy")
+	return eris.Wrap(proto.Unmarshal(plain, message), "cannot decode a copy")
 }
 
 func digestOf(encoded []byte) fleet.Digest {
--- a/io/peer/snapshot/library.go
+++ b/io/peer/snapshot/library.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"galenaridge/core/fleet"
 	"galenaridge/core/follow"
 )
@@ -60,20 +62,20 @@
 		latest = kept[len(kept)-1]
 	}
 	now := l.clock.Now()
-	var value any
+	var message proto.Message
 	generation := follow.Generation(0)
 	if kind == follow.Configuration {
 		document := l.source.Configuration()
 		if document == nil {
 			return edition{}, false, nil
 		}
-		generation, value = follow.Generation(document.Version), document
+		generation, message = follow.Generation(document.Version), toRoutes(document)
 	} else {
 		if latest.generation > 0 && now.Sub(latest.encodedAt) < maxListingAge {
 			return latest, true, nil
 		}
 		listing := l.source.Listing()
-		generation, value = follow.Generation(listing.Revision), listing
+		generation, message = follow.Generation(listing.Revision), toServers(listing)
 	}
 	if generation == 0 {
 		return edition{}, false, nil
@@ -81,7 +83,7 @@
 	if kind == follow.Configuration && generation == latest.generation {
 		return latest, true, nil
 	}
-	data, err := encode(value)
+	data, err := encode(message)
 	if err != nil {
 		return edition{}, false, err
 	}
--- a/io/peer/snapshot/server.go
+++ b/io/peer/snapshot/server.go
@@ -79,7 +79,7 @@
 	case err != nil || changes.Revision == 0:
 		return c.SendStatus(fiber.StatusServiceUnavailable)
 	}
-	body, err := encode(changes)
+	body, err := encode(toServers(changes))
 	if err != nil {
 		return h.fail(c, err)
 	}
--- a/io/peer/snapshot/snapshot_test.go
+++ b/io/peer/snapshot/snapshot_test.go
@@ -1,10 +1,10 @@
 package snapshot
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +18,7 @@
 	"galenaridge/core/follow"
 	"galenaridge/core/registry"
 	"galenaridge/core/route"
+	"galenaridge/io/peer/peerpb"
 )
 
 // testCopy is the copy of an instance, which a test changes.
@@ -205,9 +206,9 @@
 // TestDecodeLimits guards against a peer whose compressed document exhausts the memory, and
 // against damaged ones.
 func TestDecodeLimits(t *testing.T) {
-	huge, err := encode(string(bytes.Repeat([]byte("a"), maxDocumentBytes+1)))
+	huge, err := encode(&peerpb.Routes{Routes: []*peerpb.Route{{Name: strings.Repeat("a", maxDocumentBytes+1)}}})
 	require.NoError(t, err)
-	valid, err := encode(largeDocument(3))
+	valid, err := encode(toRoutes(largeDocument(3)))
 	require.NoError(t, err)
 	tests := []struct {
 		name    string
@@ -227,3 +228,12 @@
 		})
 	}
 }
+
+// TestChangeWithoutServer guards against a change of a later release, which this one does
+// not know, that is taken for the removal of a server.
+func TestChangeWithoutServer(t *testing.T) {
+	encoded, err := encode(&peerpb.Servers{Revision: 5, Partial: true, Changes: []*peerpb.Change{{}}})
+	require.NoError(t, err)
+	_, err = NewClient().Decode(follow.Servers, encoded)
+	require.Error(t, err)
+}
