--- a/tests/integration/gateway_test.go
+++ b/tests/integration/gateway_test.go
@@ -137,11 +137,21 @@
 // putConfig writes a configuration to the store that routes idempotent and other
 // requests to a service.
 func (f *gatewayFleet) putConfig(version int, service string) {
+	f.putLargeConfig(version, service, 0)
+}
+
+// putLargeConfig writes the configuration of putConfig with a number of further routes.
+func (f *gatewayFleet) putLargeConfig(version int, service string, routes int) {
+	var further strings.Builder
+	for i := range routes {
+		fmt.Fprintf(&further, `,
+{"name":"r-%08x","prefix":"/%x/","type":"idempotent","timeout_ms":1500,"target_latency_ms":400,"priority":2,"service":%q,"max_attempts":2}`, i*2654435761, 0x10000+i, service)
+	}
 	f.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"services":[{"name":"one","health_path":"/health","max_connections":100},{"name":"two","health_path":"/health","max_connections":100},{"name":"three","health_path":"/health","max_connections":100}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":5000},
 "hosts":[{"host":"h.example","paths":[
 {"name":"read","prefix":"/read/","type":"idempotent","timeout_ms":1500,"target_latency_ms":400,"priority":2,"service":%q,"max_attempts":2},
-{"name":"write","prefix":"/write/","type":"non_idempotent","timeout_ms":1500,"target_latency_ms":400,"priority":0,"service":%q,"max_attempts":2}]}]}`, version, service, service))
+{"name":"write","prefix":"/write/","type":"non_idempotent","timeout_ms":1500,"target_latency_ms":400,"priority":0,"service":%q,"max_attempts":2}%s]}]}`, version, service, service, further.String()))
 }
 
 func (f *gatewayFleet) awaitReady(instances ...*gatewayInstance) {
--- a/tests/integration/soak_faults_test.go
+++ b/tests/integration/soak_faults_test.go
@@ -23,6 +23,7 @@
 		func() { s.signal(instance, syscall.SIGHUP) },
 		func() { s.putNextConfig() },
 		func() { s.drainServer(server) },
+		s.putConfigSeries,
 	}
 	unplanned := []func(){
 		func() { s.killAndRestart(instance) },
@@ -31,6 +32,7 @@
 		func() { s.store.SetMode(store.Up); s.store.Compact() },
 		func() { s.setRandomFault(server) },
 		func() { server.SetFault(backend.None) },
+		func() { server.SetEndless(soakEndlessTexts[s.random.IntN(len(soakEndlessTexts))]) },
 		s.injectLinkFault,
 		s.injectLinkFault,
 		s.injectLinkFault,
@@ -45,13 +47,34 @@
 // replaces CloseDelimitedReset: the link turns the reset into a clean close, which
 // marks the normal end of a response without a length.
 func (s *soak) setRandomFault(server *backend.Server) {
-	fault := backend.Fault(s.random.IntN(int(backend.Encoded) + 1))
+	fault := backend.Fault(s.random.IntN(int(backend.RefusedAgainUnnamed) + 1))
+	if fault == backend.Leaving {
+		// The notice of a server that leaves holds for the rest of its run.
+		fault = backend.Pause
+	}
 	if fault == backend.CloseDelimitedReset && behindLink(server) {
 		fault = backend.CloseDelimited
 	}
 	server.SetFault(fault)
 }
 
+// soakEndlessTexts are responses without end: no response, a header, a body, and a chunk
+// extension.
+var soakEndlessTexts = []backend.EndlessText{
+	{Repeated: "\x00garbage"},
+	{Start: "HTTP/1.1 200 OK\r\n", Repeated: "X-More: 1\r\n"},
+	{Start: "HTTP/1.1 200 OK\r\nGalenaridge-Server-Signature: sig\r\n\r\n", Repeated: "body"},
+	{Start: "HTTP/1.1 503 Service Unavailable\r\nGalenaridge-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n4;", Repeated: "x"},
+}
+
+// putConfigSeries writes several configurations shortly after each other.
+func (s *soak) putConfigSeries() {
+	for range 2 + s.random.IntN(4) {
+		s.putNextConfig()
+		time.Sleep(time.Duration(s.random.IntN(200)) * time.Millisecond)
+	}
+}
+
 // injectLinkFault injects a temporary fault into the link to a server, the store
 // or an instance: delay, a reset, a cut in one or both directions, or refused
 // connections.
--- a/tests/integration/soak_test.go
+++ b/tests/integration/soak_test.go
@@ -32,6 +32,8 @@
 	// soakInitialVersions is the number of configurations that are written before
 	// the run starts.
 	soakInitialVersions = 3
+	// soakLargeRoutes is the number of further routes in half of the configurations.
+	soakLargeRoutes = 1400
 )
 
 // soakServices are the services of the configurations. Each configuration routes
@@ -93,7 +95,8 @@
 // faults and planned actions: killed and paused processes, planned stops, reloads,
 // configuration changes, all failure modes of the store, links that are slow,
 // reset, cut in one or both directions or refuse connections, and servers that
-// stall, shed load, corrupt responses or drain. SOAK_SEEDS=FIRST:COUNT runs other
+// stall, shed load, ask for pauses, corrupt responses, send them without end or drain.
+// Half of the configurations are large, and some follow each other at once. SOAK_SEEDS=FIRST:COUNT runs other
 // seeds.
 func TestSoak(t *testing.T) {
 	seeds := soakSeeds
@@ -202,7 +205,7 @@
 	s.mu.Lock()
 	version := len(s.versions)
 	s.mu.Unlock()
-	s.putConfig(version+1, versionService(version))
+	s.putLargeConfig(version+1, versionService(version), s.random.IntN(2)*soakLargeRoutes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.versions = append(s.versions, soakVersion{service: versionService(version), acknowledgedAt: time.Now()})
