--- a/io/gateway/large_config_test.go
+++ b/io/gateway/large_config_test.go
@@ -78,7 +78,7 @@
 	log   *eventLog
 }
 
-func startThrottledFleet(t *testing.T, instances int, bandwidth throttle.Mbps) *throttledFleet {
+func startThrottledFleet(t testing.TB, instances int, bandwidth throttle.Mbps) *throttledFleet {
 	t.Helper()
 	started, err := store.Listen()
 	require.NoError(t, err)
@@ -131,7 +131,7 @@
 	return f
 }
 
-func freePort(t *testing.T) int {
+func freePort(t testing.TB) int {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -179,3 +179,34 @@
 		})
 	}
 }
+
+// BenchmarkConfigInForce measures the time until the last instance of a failure domain has
+// a configuration in force. All instances share the processors of this machine.
+func BenchmarkConfigInForce(b *testing.B) {
+	benches := []struct {
+		instances int
+		bandwidth throttle.Mbps
+		routes    int
+	}{
+		{12, 10, 1400},
+		{40, 200, 3700},
+		{40, 10, 3700},
+	}
+	for _, bench := range benches {
+		b.Run(fmt.Sprintf("instances=%d/mbps=%v/routes=%d", bench.instances, bench.bandwidth, bench.routes), func(b *testing.B) {
+			f := startThrottledFleet(b, bench.instances, bench.bandwidth)
+			version := 3
+			for b.Loop() {
+				version++
+				putRoutes(f.store, version, bench.routes)
+				for len(f.log.instances(configInForce(version))) < bench.instances {
+					time.Sleep(2 * time.Millisecond)
+				}
+				b.StopTimer()
+				// The fleet is idle again.
+				time.Sleep(2 * time.Second)
+				b.StartTimer()
+			}
+		})
+	}
+}
