--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -23,6 +23,12 @@
 			}
 			return p.clock.Now().Sub(v.ConfirmedAt()).Seconds()
 		}},
+		{"galenaridge_config_behind", func(v *core.View) float64 {
+			if v.ConfigBehind() {
+				return 1
+			}
+			return 0
+		}},
 		{"galenaridge_servers", func(v *core.View) float64 { return float64(v.Registry().ServerCount()) }},
 		{"galenaridge_peers_live", func(v *core.View) float64 { return float64(v.WorkingSet().LivePeerCount()) }},
 		{"galenaridge_place", func(v *core.View) float64 { return float64(v.WorkingSet().Role()) }},
