--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -253,17 +253,9 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			target := &recordingSink{}
-			c := NewCopyFetcher(CopyFetcherOptions{Peers: fakePeers{test.err}, Sink: target, Copy: noCopy{}, Random: firstOf{}, Clock: realTimer{clockwork.NewRealClock()}})
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				c.Run(ctx)
-			}()
+			c := startCopyFetcher(t, fakePeers{test.err}, target)
 			c.FetchChanges("peer", 1)
 			target.eventually(t, "the end of the fetch", func(s *recordingSink) bool { return s.missed == test.missed && s.partial == test.copies })
-			cancel()
-			<-done
 		})
 	}
 }
