Begin a transfer anew if the remaining peers encode the document otherwise

A transfer continued at its offset with any peer of the same generation. If the peer that began it was gone and the others had another encoding, as another release may, each of their parts was refused and the transfer never ended. TestOtherEncoding failed before.

--- a/core/follow/document_fetcher.go
+++ b/core/follow/document_fetcher.go
@@ -177,6 +177,10 @@
 	}
 	if err != nil {
 		delete(d.sources[kind], peer)
+		if errors.Is(err, errUnexpectedPart) && len(d.sources[kind]) == 0 {
+			// The remaining peers encode the document in another way.
+			d.transfers[kind] = &transfer{}
+		}
 		d.options.Sink.ReportFetch(FetchReport{
 			Kind:          kind,
 			Peer:          peer,
--- a/core/follow/document_test.go
+++ b/core/follow/document_test.go
@@ -6,6 +6,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -89,6 +91,8 @@
 	busy        map[fleet.Address]int
 	served      int
 	failedCalls int
+	// encodings holds the documents of peers that encode it in another way.
+	encodings map[fleet.Address][]byte
 	// block, if set, delays parts until it is closed.
 	block chan struct{}
 }
@@ -116,13 +120,17 @@
 	if request.Generation != p.generation {
 		offset = 0
 	}
-	part := partOf(p.document, p.generation, offset)
+	document := p.document
+	if other, found := p.encodings[peer]; found {
+		document = other
+	}
+	part := partOf(document, p.generation, offset)
 	p.served += len(part.Data)
 	return part, nil
 }
 
 func (p *servingPeers) Decode(_ Kind, encoded []byte) (Listing, error) {
-	if !bytes.Equal(encoded, p.document) {
+	if !bytes.Equal(encoded, p.document) && !slices.ContainsFunc(slices.Collect(maps.Values(p.encodings)), func(other []byte) bool { return bytes.Equal(encoded, other) }) {
 		return Listing{}, errors.New("another document")
 	}
 	return Listing{Routes: &route.Document{Version: fleet.Version(p.generation)}}, nil
@@ -168,6 +176,27 @@
 	}
 }
 
+// TestOtherEncoding guards against a transfer that never ends, because the peer that began
+// it is gone and the others encode the document in another way, as another release may.
+func TestOtherEncoding(t *testing.T) {
+	peers := &servingPeers{
+		document: bytes.Repeat([]byte("a"), 25), generation: 9,
+		partsLeft: map[fleet.Address]int{"p": 1, "q": 10},
+		encodings: map[fleet.Address][]byte{"q": bytes.Repeat([]byte("b"), 28)},
+	}
+	target := &recordingSink{}
+	c := startCopyFetcher(t, peers, target)
+	c.FetchConfiguration("p", 9)
+	target.eventually(t, "the failure of the first peer", func(s *recordingSink) bool { return s.missed == 1 })
+	// Each heartbeat offers the document again.
+	require.Eventually(t, func() bool {
+		c.FetchConfiguration("q", 9)
+		target.mu.Lock()
+		defer target.mu.Unlock()
+		return len(target.configs) == 1
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
 // TestChangesDuringTransfer guards against changes of servers that wait for a large
 // configuration.
 func TestChangesDuringTransfer(t *testing.T) {
