Leave connections that a link refused out of the served share of the soak

The run of 50 seeds failed once, seed 125: 2,191 of 15,089 requests served. It fails each time: 4 of 4 further runs had 8,586 to 9,572 requests without a response each at the two instances whose links refused connections, and none at the others. The callers go on at once after a refused connection, so they count thousands of requests in a second that no instance ever saw.

The check asked for a quarter of all requests. It asks for a quarter of those that were not refused by a link, which happens only as an injected fault: a process that is gone behind a link looks different (the link accepts and closes). All other checks still see every request, and the log states the results by instance.

--- a/tests/integration/soak_check_test.go
+++ b/tests/integration/soak_check_test.go
@@ -38,17 +38,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	runs := s.runsByRequest()
-	served := 0
+	served, unseen := 0, 0
+	type result struct {
+		instance string
+		status   int
+	}
+	results := make(map[result]int)
 	for _, call := range s.calls {
 		s.checkCall(call, runs[call.id])
-		if call.status == 200 {
+		results[result{call.instance, call.status}]++
+		switch {
+		case call.status == 200:
 			served++
+		case call.refusedByLink():
+			unseen++
 		}
 	}
 	s.checkDrainedServers(runs)
 	s.checkConfigVersions()
-	s.t.Logf("%d of %d requests served", served, len(s.calls))
-	require.Greater(s.t, served*4, len(s.calls), "at least a quarter of the requests is served")
+	s.t.Logf("%d of %d requests served; by instance and status: %v", served, len(s.calls), results)
+	require.Greater(s.t, served*4, len(s.calls)-unseen, "at least a quarter of the requests that reached an instance is served")
 }
 
 // runsByRequest returns the runs of each request on all servers, by the id of the
--- a/tests/integration/soak_test.go
+++ b/tests/integration/soak_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,7 +24,12 @@
 // soakSeeds are the seeds that CI runs. Even seeds run planned actions only, odd
 // seeds also inject faults. Keep each seed that has ever failed in this list, with
 // a comment on the cause.
-var soakSeeds = []uint64{1, 2}
+var soakSeeds = []uint64{
+	1, 2,
+	// Two links refused connections for a while, and callers counted tens of thousands of
+	// requests that no instance ever saw as not served.
+	125,
+}
 
 const (
 	soakDuration  = 8 * time.Second
@@ -91,6 +97,12 @@
 	body   string
 }
 
+// refusedByLink reports whether the link to the instance refused the connection. A link
+// does so only as an injected fault; the failure of an instance looks different.
+func (c soakCall) refusedByLink() bool {
+	return c.status == 0 && strings.Contains(c.body, syscall.ECONNREFUSED.Error())
+}
+
 // TestSoak guards against violated guarantees to callers under random, overlapping
 // faults and planned actions: killed and paused processes, planned stops, reloads,
 // configuration changes, all failure modes of the store, links that are slow,
