--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -139,8 +139,7 @@
 		Clock:       p.clock,
 		HeaderCodec: p.options.Adapter.ServerHeaderCodec(),
 		Domain:      s.Domain,
-		// A response in progress needs several times its bytes until it is collected.
-		MemoryBudget: int(s.Capacity.MemoryMB * 1e6 / memoryPerResponseByte),
+		MemoryBudget: int(s.Capacity.MemoryMB * 1e6 * responseMemoryShare),
 	})
 	p.engine = dispatch.New(dispatch.Options{ControlState: controlState{p}, Sender: p.serverPool, Clock: p.clock, Journal: decisions})
 	p.control = core.New(core.Options{
@@ -182,9 +181,9 @@
 	return listener, eris.Wrapf(err, "cannot listen for %s on %s", name, address)
 }
 
-// memoryPerResponseByte is the share of the memory that responses in progress may use, as
-// the divisor of the memory of the process.
-const memoryPerResponseByte = 12
+// responseMemoryShare is the share of the memory that the bytes of responses in progress may
+// use. Until they are collected, they need several times as much.
+const responseMemoryShare = 1.0 / 12
 
 func newIncarnation() (fleet.Incarnation, error) {
 	var random [8]byte
--- a/io/peer/snapshot/library.go
+++ b/io/peer/snapshot/library.go
@@ -63,26 +63,28 @@
 	}
 	now := l.clock.Now()
 	var message proto.Message
-	generation := follow.Generation(0)
-	if kind == follow.Configuration {
+	var generation follow.Generation
+	switch kind {
+	case follow.Configuration:
 		document := l.source.Configuration()
 		if document == nil {
 			return edition{}, false, nil
 		}
-		generation, message = follow.Generation(document.Version), toRoutes(document)
-	} else {
+		generation = follow.Generation(document.Version)
+		if generation == latest.generation {
+			return latest, true, nil
+		}
+		message = toRoutes(document)
+	default:
 		if latest.generation > 0 && now.Sub(latest.encodedAt) < maxListingAge {
 			return latest, true, nil
 		}
 		listing := l.source.Listing()
+		if listing.Revision == 0 {
+			return edition{}, false, nil
+		}
 		generation, message = follow.Generation(listing.Revision), toServers(listing)
 	}
-	if generation == 0 {
-		return edition{}, false, nil
-	}
-	if kind == follow.Configuration && generation == latest.generation {
-		return latest, true, nil
-	}
 	data, err := encode(message)
 	if err != nil {
 		return edition{}, false, err
--- a/io/upstream/round_trip.go
+++ b/io/upstream/round_trip.go
@@ -21,7 +21,7 @@
 	// that are skipped on a reused connection.
 	maxLateResponses = 2
 	// maxSkippedBodyBytes is the largest body of a refusal or of a late response.
-	maxSkippedBodyBytes = 64 << 10
+	maxSkippedBodyBytes = 1 << 20
 	// maxSyncWriteBytes is the size of the largest request that is written completely
 	// before the response is read. A server may respond to a longer request before it
 	// has read all of it, and then waits for the rest.
