--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -136,9 +136,9 @@
 		Random: processRandom{},
 	})
 	p.serverPool = upstream.NewPool(upstream.PoolOptions{
-		Clock:       p.clock,
-		HeaderCodec: p.options.Adapter.ServerHeaderCodec(),
-		Domain:      s.Domain,
+		Clock:        p.clock,
+		HeaderCodec:  p.options.Adapter.ServerHeaderCodec(),
+		Domain:       s.Domain,
 		MemoryBudget: int(s.Capacity.MemoryMB * 1e6 * responseMemoryShare),
 	})
 	p.engine = dispatch.New(dispatch.Options{ControlState: controlState{p}, Sender: p.serverPool, Clock: p.clock, Journal: decisions})
