Bound the time to open a connection to a peer

The counting of received bytes gave the client of copies a dial function of its own, which the deadline of a call does not cover: a fetch from a machine without power lasted 3 s instead of 0.4 s, and the changes of all other peers waited behind it. A connection is opened within 0.25 s or not at all.

--- a/io/peer/snapshot/client.go
+++ b/io/peer/snapshot/client.go
@@ -39,8 +39,12 @@
 	return c
 }
 
+// connectTimeout bounds the time to open a connection. The limit of a call does not cover
+// it, and a machine without power does not answer at all.
+const connectTimeout = 250 * time.Millisecond
+
 func (c *Client) dial(address string) (net.Conn, error) {
-	socket, err := fasthttp.Dial(address)
+	socket, err := net.DialTimeout("tcp4", address, connectTimeout)
 	if err != nil {
 		return nil, err
 	}
