--- a/core/gateway/announcement_test.go
+++ b/core/gateway/announcement_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -126,3 +127,44 @@
 	require.Nil(t, l.View().Listing(clock.Now()).Routes)
 	require.Equal(t, fleet.Version(4), l.View().Document().Version)
 }
+
+// TestReaderFetchesLate guards against bytes between instances for what the reader gets from
+// the store in a moment, and against a reader that relies on a store that does not deliver.
+func TestReaderFetchesLate(t *testing.T) {
+	tests := []struct {
+		name     string
+		behind   time.Duration
+		lost     bool
+		confirms bool
+		fetches  bool
+	}{
+		{"just announced", 100 * time.Millisecond, false, true, false},
+		{"the store does not deliver it", overdueCopyAge + 200*time.Millisecond, false, true, true},
+		{"the store refuses the reader", 100 * time.Millisecond, true, true, true},
+		{"the store confirms nothing", overdueCopyAge + 200*time.Millisecond, false, false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, r, clock := newTestLoop()
+			l.ApplyListing(follow.Listing{Revision: 10, Routes: testDocument(3)}, false)
+			clock.Advance(time.Second)
+			runCommands(l)
+			require.True(t, r.following, "an instance that is alone reads the store")
+			if test.lost {
+				l.HandleStoreLost(errors.New("the store returned status 503"))
+			}
+			for at := time.Duration(0); at < test.behind; at += tickInterval {
+				if test.confirms && !test.lost {
+					l.ApplyChanges(nil, 10)
+				}
+				heartbeat := peerHeartbeat("a-2", "a", 12, 0)
+				heartbeat.Version = 4
+				l.HandleHeartbeat(heartbeat)
+				runCommands(l)
+				clock.Advance(tickInterval)
+			}
+			require.Equal(t, test.fetches, len(r.fetched) > 0, "changes")
+			require.Equal(t, test.fetches, len(r.configFetched) > 0, "configuration")
+		})
+	}
+}
