Allow 1 MB of framing in a response, not as much as its body

An endless series of small chunks was read up to twice the largest body, 32 MB, and parsing it took the time. A body near the largest size in chunks of a few bytes is refused now.

--- a/io/upstream/budget.go
+++ b/io/upstream/budget.go
@@ -9,9 +9,9 @@
 	// maxHeadBytes bounds what is read until the header of a response is complete,
 	// interim responses included.
 	maxHeadBytes = 64 << 10
-	// framingFactor is how many bytes may be read for each byte of the largest body:
-	// chunks have sizes and may have extensions.
-	framingFactor = 2
+	// maxFramingBytes is how many bytes may be read beyond the largest body: chunks have
+	// sizes and may have extensions.
+	maxFramingBytes = 1 << 20
 	// freeBytes is the part of each response that does not count for the memory budget.
 	freeBytes = 64 << 10
 	// defaultMemoryBudget is the memory budget of a Pool whose options have none.
@@ -69,7 +69,9 @@
 }
 
 // allowBody sets the budget for the rest of a response with a body of at most maxBodyBytes.
-func (b *readBudget) allowBody(maxBodyBytes int) { b.left = maxHeadBytes + framingFactor*maxBodyBytes }
+func (b *readBudget) allowBody(maxBodyBytes int) {
+	b.left = maxHeadBytes + maxFramingBytes + maxBodyBytes
+}
 
 // reset ends the response: its bytes no longer count, and the next header may be read.
 func (b *readBudget) reset() {
