--- a/cmd/show.go
+++ b/cmd/show.go
@@ -92,6 +92,9 @@
 	printRow(out, "instance", instance.ID, "domain "+string(instance.Domain), fmt.Sprintf("incarnation %x", uint64(instance.Incarnation)))
 	printRow(out, "state", readinessText(state), "lease "+leaseText(state.Lease), "release "+instance.Release)
 	printRow(out, "configuration", fmt.Sprintf("version %d", config.Version), "age "+formatMilliseconds(config.AgeMS), "digest "+shortDigest(string(config.Digest)))
+	if refused := config.Refused; refused != nil {
+		printRow(out, "refused configuration", fmt.Sprintf("version %d", refused.Version), refused.Reason)
+	}
 	printRow(out, "list", fmt.Sprintf("revision %d", state.Listing.Revision), "age "+formatMilliseconds(state.Listing.AgeMS), platformText(config))
 	printRow(out, "records", fmt.Sprintf("%d of %d", state.Records.Held, state.Records.MaxRecords), fmt.Sprintf("%d running", state.Records.Running), fmt.Sprintf("%d inherited", state.Records.Inherited))
 }
@@ -166,6 +169,8 @@
 		return "draining"
 	case state.Ready:
 		return "ready"
+	case state.UnreadyReason != "":
+		return "not ready: " + state.UnreadyReason
 	default:
 		return "not ready"
 	}
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -213,6 +213,8 @@
 	s.configs = append(s.configs, document.Version)
 }
 
+func (s *recordingSink) RefuseConfiguration(*RefusedConfig) {}
+
 // fakePeers returns a partial listing and an error.
 type fakePeers struct{ err error }
 
--- a/core/follow/follower.go
+++ b/core/follow/follower.go
@@ -128,7 +128,12 @@
 func (f *Follower) readConfiguration(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	if document, err := f.options.Store.Configuration(callCtx); err == nil && document != nil {
+	document, err := f.options.Store.Configuration(callCtx)
+	var refused *RefusedConfig
+	switch {
+	case errors.As(err, &refused):
+		f.options.Sink.RefuseConfiguration(refused)
+	case err == nil && document != nil:
 		f.options.Sink.ApplyConfiguration(document)
 	}
 }
--- a/core/follow/source.go
+++ b/core/follow/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"galenaridge/core/fleet"
@@ -18,13 +19,33 @@
 	Removed fleet.ServerID
 	// Routes is a new configuration.
 	Routes *route.Document
+	// Refused is set if the entry of the configuration cannot be used.
+	Refused *RefusedConfig
 }
 
+// RefusedConfig is the error for a configuration that an instance cannot use. The
+// configuration that was active before stays active.
+type RefusedConfig struct {
+	// Version is zero if it cannot be read.
+	Version fleet.Version
+	Reason  error
+}
+
+// Error implements error.
+func (r *RefusedConfig) Error() string {
+	return fmt.Sprintf("configuration %d refused: %v", r.Version, r.Reason)
+}
+
+// Unwrap returns the reason.
+func (r *RefusedConfig) Unwrap() error { return r.Reason }
+
 // Listing is the complete content of the store, or the changes since a revision. A
 // listing of a peer has no Routes, since the configuration is fetched apart.
 type Listing struct {
-	Servers  []registry.Server
-	Routes   *route.Document
+	Servers []registry.Server
+	Routes  *route.Document
+	// Refused is set in place of Routes if the configuration cannot be used.
+	Refused  *RefusedConfig
 	Revision fleet.Revision
 	// Age is the time since the listing was confirmed; zero if it comes from the store
 	// itself.
@@ -47,7 +68,8 @@
 	// revision, or no changes if there are none within the wait. It returns
 	// ErrCompacted if the store has dropped some of them.
 	Watch(ctx context.Context, after fleet.Revision, wait time.Duration) ([]Change, fleet.Revision, error)
-	// Configuration returns the latest configuration, or nil if there is none.
+	// Configuration returns the latest configuration, or nil if there is none. It
+	// returns a *RefusedConfig if the configuration cannot be used.
 	Configuration(ctx context.Context) (*route.Document, error)
 }
 
@@ -61,6 +83,9 @@
 	ApplyChanges(changes []Change, revision fleet.Revision)
 	// ApplyConfiguration receives a configuration that was read by itself.
 	ApplyConfiguration(document *route.Document)
+	// RefuseConfiguration receives the reason why a configuration that was read by
+	// itself cannot be used.
+	RefuseConfiguration(refused *RefusedConfig)
 	// HandleStoreLost is called at the first failure, HandleStoreRegained at the next
 	// success, with the time in between.
 	HandleStoreLost(err error)
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -42,6 +42,7 @@
 	s.registry.Replace(listing.Servers, keepUntil)
 	s.applyServers()
 	s.adoptRoutes(listing.Routes)
+	s.refuseConfig(listing.Refused)
 	s.revision = max(s.revision, listing.Revision)
 	s.batches = []batch{{from: s.revision, to: s.revision}}
 	s.options.Events.ListingApplied(listing.Revision, s.registry.View().ServerCount(), outage)
@@ -70,6 +71,11 @@
 	})
 }
 
+// RefuseConfiguration implements follow.Sink.
+func (l *Loop) RefuseConfiguration(refused *follow.RefusedConfig) {
+	l.submit(context.Background(), func(s *state) { s.refuseConfig(refused) })
+}
+
 // applyChanges updates the copy of the store with changes. Afterwards the copy has at
 // least the given revision.
 func (s *state) applyChanges(changes []follow.Change, revision fleet.Revision) {
@@ -92,6 +98,7 @@
 		s.options.Events.ServerRemoved(change.Removed, false)
 	default:
 		s.adoptRoutes(change.Routes)
+		s.refuseConfig(change.Refused)
 	}
 }
 
--- a/core/gateway/copy.go
+++ b/core/gateway/copy.go
@@ -37,7 +37,7 @@
 
 // serverChanges returns the changes without those of the configuration.
 func serverChanges(changes []follow.Change) []follow.Change {
-	return slices.DeleteFunc(slices.Clone(changes), func(c follow.Change) bool { return c.Routes != nil })
+	return slices.DeleteFunc(slices.Clone(changes), func(c follow.Change) bool { return c.Routes != nil || c.Refused != nil })
 }
 
 // changesSince returns the changes of the server listing after a known revision. It
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -9,6 +9,7 @@
 	"galenaridge/core/balance"
 	"galenaridge/core/dispatch"
 	"galenaridge/core/fleet"
+	"galenaridge/core/follow"
 	"galenaridge/core/registry"
 	"galenaridge/core/retry"
 	"galenaridge/core/route"
@@ -54,7 +55,10 @@
 	// the store.
 	peerHasCopy bool
 	stopping    bool
-	lag         tickLag
+	// refusedConfig is the newest configuration that cannot be used, nil if the active
+	// one is newer.
+	refusedConfig *follow.RefusedConfig
+	lag           tickLag
 	// requestRate is the moving average of the requests per second. requestsStarted
 	// is the total number of requests at rateMeasuredAt.
 	requestRate     float64
@@ -154,6 +158,7 @@
 		workingSet:   s.workingSet.View(),
 		revision:     s.revision,
 		confirmedAt:  s.confirmedAt,
+		refused:      s.refusedConfig,
 		configBehind: s.announcedConfig.isBehind(s.options.Clock.Now()),
 		stopping:     s.stopping,
 	}
@@ -231,9 +236,25 @@
 	adopted, err := s.routes.Adopt(*document)
 	switch {
 	case err != nil:
-		s.options.Events.ConfigRefused(document.Version, err)
+		s.refuseConfig(&follow.RefusedConfig{Version: document.Version, Reason: err})
 	case adopted:
 		s.document = document
 		s.options.Events.ConfigAdopted(document.Version)
+		if s.refusedConfig != nil && s.refusedConfig.Version <= document.Version {
+			s.refusedConfig = nil
+		}
+	}
+}
+
+// refuseConfig records a configuration that cannot be used, and reports it once. One that
+// is older than the active configuration does not matter.
+func (s *state) refuseConfig(refused *follow.RefusedConfig) {
+	if refused == nil || refused.Version != 0 && refused.Version <= s.routes.Version() {
+		return
+	}
+	if last := s.refusedConfig; last != nil && last.Error() == refused.Error() {
+		return
 	}
+	s.refusedConfig = refused
+	s.options.Events.ConfigRefused(refused.Version, refused.Reason)
 }
--- a/core/gateway/view.go
+++ b/core/gateway/view.go
@@ -25,7 +25,9 @@
 	// confirmedAt is when the copy of the store was last known to be current.
 	confirmedAt  time.Time
 	configBehind bool
-	stopping     bool
+	// refused is the newest configuration that cannot be used; nil if there is none.
+	refused  *follow.RefusedConfig
+	stopping bool
 }
 
 // noRoutes is the configuration while the instance has no copy of the store.
@@ -86,6 +88,10 @@
 // Registry returns the listed servers.
 func (v *View) Registry() *registry.View { return v.registry }
 
+// RefusedConfig returns the newest configuration that cannot be used, or nil if the active
+// one is newer.
+func (v *View) RefusedConfig() *follow.RefusedConfig { return v.refused }
+
 // ConfigBehind reports whether a peer has announced a newer configuration.
 func (v *View) ConfigBehind() bool { return v.configBehind }
 
@@ -100,6 +106,22 @@
 	return v.Loaded() && !v.stopping
 }
 
+// UnreadyReason returns why the instance is not ready, empty if it is.
+func (v *View) UnreadyReason() string {
+	switch {
+	case v.Ready():
+		return ""
+	case v.stopping:
+		return "a planned stop is under way"
+	case !v.routes.Ready() && v.refused != nil:
+		return "no configuration is active: " + v.refused.Error()
+	case !v.routes.Ready():
+		return "no configuration was received yet"
+	default:
+		return "no server listing was received yet"
+	}
+}
+
 // ServerCounts returns the number of servers in each condition and of their outstanding
 // requests, by service.
 func (v *View) ServerCounts(now time.Time) map[fleet.ServiceName]balance.Counts {
--- a/core/route/document.go
+++ b/core/route/document.go
@@ -79,8 +79,14 @@
 		if s.Name == "" {
 			return fmt.Errorf("%w: a service has no name", ErrInvalid)
 		}
+		if s.MaxConns < 0 {
+			return fmt.Errorf("%w: service %q has a negative number of connections", ErrInvalid, s.Name)
+		}
 		known[s.Name] = true
 	}
+	if l := d.Limits; l.MaxHeaderBytes < 0 || l.MaxBodyBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		return fmt.Errorf("%w: a limit is negative", ErrInvalid)
+	}
 	for i := range d.Routes {
 		if err := validateRoute(&d.Routes[i], known); err != nil {
 			return fmt.Errorf("%w: route %q: %w", ErrInvalid, d.Routes[i].Name, err)
@@ -96,6 +102,9 @@
 	if r.Timeout <= 0 || r.MaxAttempts < 0 {
 		return fmt.Errorf("timeout %v is not positive or the number of attempts, %d, is negative", r.Timeout, r.MaxAttempts)
 	}
+	if r.LatencyObjective < 0 || r.Priority < 0 {
+		return fmt.Errorf("latency objective %v or priority %d is negative", r.LatencyObjective, r.Priority)
+	}
 	total := 0
 	for _, b := range r.Backends {
 		if !known[b.Service] || b.Weight < 0 {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -19,6 +19,11 @@
 	return Document{Version: version, Services: []Service{{Name: "s"}, {Name: "t"}}, Routes: routes}
 }
 
+func withLimits(d Document, limits Limits) Document {
+	d.Limits = limits
+	return d
+}
+
 // TestMatch guards against requests that match the route of a different prefix or
 // host.
 func TestMatch(t *testing.T) {
@@ -110,6 +115,10 @@
 		{"no host", document(6, Route{Name: "r", Prefix: "/a/"}), false, true},
 		{"unknown service", document(6, Route{Name: "r", Host: "h", Prefix: "/a/", Backends: []Backend{{Service: "x", Weight: 1}}}), false, true},
 		{"negative weight", document(6, Route{Name: "r", Host: "h", Prefix: "/a/", Backends: []Backend{{Service: "s", Weight: -1}, {Service: "t", Weight: 2}}}), false, true},
+		{"negative attempts", document(6, Route{Name: "r", Host: "h", Prefix: "/a/", MaxAttempts: -1}), false, true},
+		{"negative priority", document(6, Route{Name: "r", Host: "h", Prefix: "/a/", Priority: -1}), false, true},
+		{"negative objective", document(6, Route{Name: "r", Host: "h", Prefix: "/a/", LatencyObjective: -1}), false, true},
+		{"negative limit", withLimits(document(6, valid), Limits{MaxBodyBytes: -1}), false, true},
 		{"no weight", document(6, Route{Name: "r", Host: "h", Prefix: "/a/", Backends: []Backend{{Service: "s"}}}), false, true},
 	}
 	for _, test := range tests {
--- a/io/gateway/adapter.go
+++ b/io/gateway/adapter.go
@@ -23,7 +23,8 @@
 	// AddressesFor returns the addresses assigned to a caller in a failure domain, and
 	// how long the caller may cache them.
 	AddressesFor(domain fleet.Domain) (addresses []fleet.Address, ttl time.Duration)
-	Ready() bool
+	// UnreadyReason returns why this instance is not ready, empty if it is.
+	UnreadyReason() string
 }
 
 // Adapter creates the parts that depend on a platform: settings, store client,
--- a/io/gateway/http_server.go
+++ b/io/gateway/http_server.go
@@ -32,6 +32,7 @@
 	})
 	operatorApp := fiber.New()
 	operatorApp.Get("/metrics", p.writeMetrics)
+	operatorApp.Get("/state", p.writeState)
 	s := p.options.Settings
 	servers := []struct {
 		name    string
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -29,6 +29,12 @@
 			}
 			return 0
 		}},
+		{"galenaridge_config_refused", func(v *core.View) float64 {
+			if v.RefusedConfig() != nil {
+				return 1
+			}
+			return 0
+		}},
 		{"galenaridge_servers", func(v *core.View) float64 { return float64(v.Registry().ServerCount()) }},
 		{"galenaridge_peers_live", func(v *core.View) float64 { return float64(v.WorkingSet().LivePeerCount()) }},
 		{"galenaridge_place", func(v *core.View) float64 { return float64(v.WorkingSet().Role()) }},
--- a/io/gateway/ports.go
+++ b/io/gateway/ports.go
@@ -65,8 +65,8 @@
 	return addresses, min(addressTTL, d.process.options.Settings.Bounds.AssignmentTTL)
 }
 
-// Ready implements Directory.
-func (d directory) Ready() bool { return d.process.control.View().Ready() }
+// UnreadyReason implements Directory.
+func (d directory) UnreadyReason() string { return d.process.control.View().UnreadyReason() }
 
 // followerSink passes the results of the store follower and the copy fetcher to the
 // control loop. It refers to the process because follower and loop refer to each
@@ -96,6 +96,11 @@
 	s.process.control.ApplyConfiguration(document)
 }
 
+// RefuseConfiguration implements follow.Sink.
+func (s followerSink) RefuseConfiguration(refused *follow.RefusedConfig) {
+	s.process.control.RefuseConfiguration(refused)
+}
+
 // ReportFetch implements follow.PeerSink.
 func (s followerSink) ReportFetch(report follow.FetchReport) { s.process.control.ReportFetch(report) }
 
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -56,6 +56,8 @@
 	// seeds are the seed addresses of the active settings. After New only
 	// runMaintenance uses them.
 	seeds        []fleet.Address
+	incarnation  fleet.Incarnation
+	startedAt    time.Time
 	control      *core.Loop
 	engine       *dispatch.Engine
 	follower     *follow.Follower
@@ -76,6 +78,7 @@
 	}
 	p := &Process{options: options, clock: clock{options.Clock}, metrics: metrics.NewSet()}
 	p.seeds = options.Settings.Seeds
+	p.startedAt = p.clock.Now()
 	p.decisions = decisionlog.NewWriter(options.LogOutput, p.clock, options.Settings.ID)
 	p.log = newLog(p.decisions, options.LogLevel, options.Settings.ID)
 	if err := p.assemble(); err != nil {
@@ -117,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	incarnation, err := newIncarnation()
+	p.incarnation, err = newIncarnation()
 	if err != nil {
 		return err
 	}
@@ -144,7 +147,7 @@
 	p.engine = dispatch.New(dispatch.Options{ControlState: controlState{p}, Sender: p.serverPool, Clock: p.clock, Journal: decisions})
 	p.control = core.New(core.Options{
 		Self: workset.Heartbeat{
-			Member:        fleet.Member{ID: s.ID, Incarnation: incarnation},
+			Member:        fleet.Member{ID: s.ID, Incarnation: p.incarnation},
 			Domain:        s.Domain,
 			PeerAddress:   s.Listen.Peer,
 			CallerAddress: s.Listen.Caller,
--- /dev/null
+++ b/io/gateway/state.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"github.com/gofiber/fiber/v3"
+
+	"galenaridge/core/workset"
+	"galenaridge/io/operator"
+)
+
+// writeState responds with the state of the instance as JSON. It has the form of the state
+// that "galenaridge show" prints.
+func (p *Process) writeState(c fiber.Ctx) error { return c.JSON(p.state()) }
+
+func (p *Process) state() operator.InstanceState {
+	view, s := p.control.View(), p.options.Settings
+	state := operator.InstanceState{
+		Instance: operator.Instance{
+			ID:            s.ID,
+			Incarnation:   p.incarnation,
+			Domain:        s.Domain,
+			CallerAddress: s.Listen.Caller,
+			PeerAddress:   s.Listen.Peer,
+			Release:       p.options.Release,
+			StartedAt:     p.startedAt,
+		},
+		Ready:         view.Ready(),
+		UnreadyReason: view.UnreadyReason(),
+		Draining:      view.Stopping(),
+		Config: operator.Config{
+			Version:          view.Routes().Version(),
+			WatchingPlatform: view.WorkingSet().IsStoreReader(),
+		},
+		Listing: operator.Listing{Revision: view.Revision()},
+	}
+	if confirmedAt := view.ConfirmedAt(); !confirmedAt.IsZero() {
+		state.Listing.AgeMS = p.clock.Now().Sub(confirmedAt).Milliseconds()
+	}
+	if refused := view.RefusedConfig(); refused != nil {
+		state.Config.Refused = &operator.RefusedConfig{Version: refused.Version, Reason: refused.Reason.Error()}
+	}
+	for _, heartbeat := range view.WorkingSet().AllActive() {
+		state.Peers = append(state.Peers, operator.Peer{
+			ID:            heartbeat.Member.ID,
+			Incarnation:   heartbeat.Member.Incarnation,
+			Domain:        heartbeat.Domain,
+			State:         workset.Active.String(),
+			CallerAddress: heartbeat.CallerAddress,
+		})
+	}
+	return state
+}
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -9,19 +9,21 @@
 // InstanceState is the state of an instance that operators receive. Fields whose
 // names end in MS are in milliseconds; times are in UTC.
 type InstanceState struct {
-	Instance     Instance      `json:"instance"`
-	Ready        bool          `json:"ready"`
-	Draining     bool          `json:"draining"`
-	Lease        Lease         `json:"lease"`
-	Config       Config        `json:"config"`
-	Listing      Listing       `json:"list"`
-	Peers        []Peer        `json:"peers"`
-	OwnedServers []OwnedServer `json:"servers"`
-	Ejections    []Ejection    `json:"ejections"`
-	Permits      []Permit      `json:"permits"`
-	Services     []Service     `json:"services"`
-	Assignments  []Assignment  `json:"assignments"`
-	Records      Records       `json:"records"`
+	Instance Instance `json:"instance"`
+	Ready    bool     `json:"ready"`
+	// UnreadyReason says why the instance is not ready, if it knows.
+	UnreadyReason string        `json:"unready,omitempty"`
+	Draining      bool          `json:"draining"`
+	Lease         Lease         `json:"lease"`
+	Config        Config        `json:"config"`
+	Listing       Listing       `json:"list"`
+	Peers         []Peer        `json:"peers"`
+	OwnedServers  []OwnedServer `json:"servers"`
+	Ejections     []Ejection    `json:"ejections"`
+	Permits       []Permit      `json:"permits"`
+	Services      []Service     `json:"services"`
+	Assignments   []Assignment  `json:"assignments"`
+	Records       Records       `json:"records"`
 }
 
 // Instance identifies the instance.
@@ -53,6 +55,16 @@
 	// PlatformFailingMS is the time since calls to the platform began to fail; it is
 	// zero if they succeed or none is made.
 	PlatformFailingMS int64 `json:"platform_failing_ms"`
+	// Refused is the newest configuration that the instance cannot use; nil if there is
+	// none.
+	Refused *RefusedConfig `json:"refused,omitempty"`
+}
+
+// RefusedConfig is a configuration that the instance cannot use.
+type RefusedConfig struct {
+	// Version is zero if it cannot be read.
+	Version fleet.Version `json:"version"`
+	Reason  string        `json:"reason"`
 }
 
 // Listing is the latest known revision of the platform's listing.
