Keep the floor at all times, not only while requests fail

Cause: the share of servers in use was kept only while an instance saw more than 5.5% of its requests fail. Requests that are in flight when all instances lose power fail together, and the window before has 10 to 20% unserved requests that no instance has seen. Ruled out: ages of views and the division of servers among instances.

Now servers in use are kept at the floor in calm times as well, the least likely to fail first, and at more where covering costs nothing. The floor is a setting (floor_share). Failure domains without an active instance are covered by the instances of the others.

What other instances report of a server is summed when a report arrives, not for each candidate of each choice, and reports of instances that are gone are dropped.

standin/pattern plays load patterns against the real choice of servers in virtual time.

--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -54,7 +54,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	expected := p.durations.expected(options.Kind, options.LatencyObjective)
-	chosen, trial := p.chooseServer(now, options, expected)
+	chosen, calmCoverage := p.chooseForCoverage(now, options)
+	trial := false
+	if chosen == nil {
+		chosen, trial = p.chooseServer(now, options, expected)
+		calmCoverage = false
+	}
 	if chosen == nil {
 		if len(options.Exclude) >= len(p.live) {
 			return nil, NoServer
@@ -79,6 +84,7 @@
 		idempotent:         options.Idempotent,
 		startedAt:          now,
 		expectedWait:       expectedWait,
+		calmCoverage:       calmCoverage,
 		stallAfter:         time.Duration(stallFactor*float64(expected)) + expectedWait + stallMargin,
 	}
 	chosen.attempts = append(chosen.attempts, attempt)
@@ -92,9 +98,6 @@
 // chooseServer returns the server with the lowest cost among those whose queue is
 // short enough, and whether the request is a trial of a suspected server.
 func (p *Pool) chooseServer(now time.Time, options PickOptions, expected time.Duration) (*server, bool) {
-	if s := p.chooseForCoverage(now, options); s != nil {
-		return s, false
-	}
 	var best, trial *server
 	var bestCost, trialCost float64
 	interval := p.trialInterval(now, options, expected)
@@ -220,6 +223,9 @@
 	if result == Failed || result == Stalled {
 		s.lastFailureAt = now
 	}
+	if a.calmCoverage && result != Abandoned {
+		p.recordCoverage(result)
+	}
 	if !a.idempotent && (result == Failed || result == Stalled || result == Shed) {
 		p.recentAttempts.recordFailure(now)
 	}
--- a/core/balance/coverage.go
+++ b/core/balance/coverage.go
@@ -6,13 +6,15 @@
 	"galenaridge/core/fleet"
 )
 
-// When a service fails part of its requests, choosing by estimated failure probability
-// alone would send all requests to a few servers. That would eject healthy servers as
-// well, so each server that may be healthy gets a request from time to time: it is
-// covered.
+// Choosing by estimated failure probability alone would send all requests to a few
+// servers, and would so eject healthy servers as well. Therefore servers get a request from
+// time to time: they are covered. In calm times the share of servers in use is kept at the
+// floor, because requests that fail together, such as those in flight on an instance that
+// loses power, are known too late. While the service fails part of its requests, each
+// server that may be healthy is covered.
 
 const (
-	// coverFailureShare is the share of failed requests above which coverage starts.
+	// coverFailureShare is the share of failed requests above which all servers are covered.
 	// Failures of idempotent requests do not count, because second attempts serve most
 	// of those requests. Occasional errors of healthy servers stay below this share.
 	coverFailureShare = 0.055
@@ -28,6 +30,14 @@
 	// suspectedCoverInterval is the minimum time between two coverage requests to
 	// suspected servers.
 	suspectedCoverInterval = 250 * time.Millisecond
+	// calmCoverThreshold is the failure probability above which a server is not covered in
+	// calm times. A healthy server is below it about 2 s after a single error.
+	calmCoverThreshold = 0.4
+	// costlyCoverFailures is the share of failures among the requests that cover servers in
+	// calm times at which no more than the floor is covered. coverFailureWeight is the
+	// weight of one request in that share.
+	costlyCoverFailures = 0.2
+	coverFailureWeight  = 0.03
 	// counterBuckets and counterBucketSpan define the window over which failures are
 	// counted.
 	counterBuckets    = 10
@@ -73,33 +83,69 @@
 }
 
 // chooseForCoverage returns the server due for coverage that is least likely to be
-// failing, or nil. Every server gets its turn: the floor counts all servers without
-// a fault, and these may be only a few of the servers that respond.
-func (p *Pool) chooseForCoverage(now time.Time, options PickOptions) *server {
-	if p.recentAttempts.failureShare(now, p.countOverdue(now)) < coverFailureShare {
-		return nil
-	}
+// failing, or nil. While requests fail, every server gets its turn: the floor counts all
+// servers without a fault, and these may be only a few of the servers that respond.
+//
+// The servers of a failure domain are covered by the instances there, and by all if there
+// are none. Each counts a request of any of them, and none waits for another.
+func (p *Pool) chooseForCoverage(now time.Time, options PickOptions) (_ *server, calm bool) {
+	calm = p.recentAttempts.failureShare(now, p.countOverdue(now)) < coverFailureShare
 	interval := coverInterval
 	if options.Idempotent {
 		interval = idempotentCoverInterval
 	}
 	var best *server
 	lowest := 1.0
+	reachable, inUse := 0, 0
 	for _, s := range p.live {
-		if s.info.Domain != p.options.Domain || now.Before(s.cutUntil) || p.notices.excludes(now, s.info.Incarnation) {
+		if !p.covers(s.info.Domain) || now.Before(s.cutUntil) || p.notices.excludes(now, s.info.Incarnation) {
 			continue
 		}
-		if now.Sub(s.lastRequestAt(now)) < interval {
+		reachable++
+		if now.Sub(s.lastRequestAt(now)) < interval || s.requests(now) >= s.slots() {
+			inUse++
 			continue
 		}
-		if probability := s.failureProbability(now); probability < lowest && p.mayCover(now, s) && !excluded(options.Exclude, s.info.Incarnation) {
+		if probability := s.failureProbability(now); probability < lowest && p.mayCover(now, s, calm) && !excluded(options.Exclude, s.info.Incarnation) {
 			best, lowest = s, probability
 		}
 	}
+	if calm && float64(inUse) >= p.calmShare()*float64(reachable) {
+		return nil, calm
+	}
 	if best != nil && best.finishedProbability(now) >= suspectThreshold {
 		p.coveredAt = now
 	}
-	return best
+	return best, calm
+}
+
+// SetUnattended sets the failure domains that have no active instance. This instance covers
+// their servers as well.
+func (p *Pool) SetUnattended(domains map[fleet.Domain]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unattended = domains
+}
+
+// covers reports whether this instance covers the servers of a failure domain.
+func (p *Pool) covers(domain fleet.Domain) bool {
+	return domain == p.options.Domain || p.unattended[domain]
+}
+
+// calmShare returns the share of servers that are kept in use while few requests fail: all
+// of them if requests that cover servers hardly ever fail, and no more than the floor if
+// they often do.
+func (p *Pool) calmShare() float64 {
+	return 1 - (1-p.options.Floor)*min(p.coverFailures/costlyCoverFailures, 1)
+}
+
+// recordCoverage counts the result of an attempt that covered a server in calm times.
+func (p *Pool) recordCoverage(result Result) {
+	failed := 0.0
+	if result == Failed || result == Stalled {
+		failed = 1
+	}
+	p.coverFailures += coverFailureWeight * (failed - p.coverFailures)
 }
 
 // countOverdue returns the number of outstanding non-idempotent attempts that exceed
@@ -119,30 +165,24 @@
 // lastRequestAt returns the time of the last request to the server, by this
 // instance or, according to the reports, by another one.
 func (s *server) lastRequestAt(now time.Time) time.Time {
-	last := s.lastAttemptAt
-	for _, r := range s.remoteReports {
-		if now.Sub(r.receivedAt) > remoteReportTTL {
-			continue
-		}
-		at := r.estimate.updatedAt
-		if r.outstanding > 0 {
-			at = r.receivedAt
-		}
-		if at.After(last) {
-			last = at
-		}
+	if remote := s.remote(now).lastRequestAt; remote.After(s.lastAttemptAt) {
+		return remote
 	}
-	return last
+	return s.lastAttemptAt
 }
 
-// mayCover reports whether a server is eligible for coverage: it has no
-// outstanding attempt, and it is not suspected or its last failure was long
-// enough ago.
-func (p *Pool) mayCover(now time.Time, s *server) bool {
+// mayCover reports whether a server is eligible for coverage: it has no outstanding
+// attempt and, in calm times, has not failed lately. While requests fail, it is not
+// suspected or its last failure was long enough ago.
+func (p *Pool) mayCover(now time.Time, s *server, calm bool) bool {
 	if len(s.attempts) > 0 {
 		return false
 	}
-	if s.finishedProbability(now) < suspectThreshold {
+	probability := s.finishedProbability(now)
+	if calm {
+		return probability < calmCoverThreshold
+	}
+	if probability < suspectThreshold {
 		return true
 	}
 	return now.Sub(s.lastFailureAt) >= suspectedCoverDelay && now.Sub(p.coveredAt) >= suspectedCoverInterval
--- a/core/balance/doc.go
+++ b/core/balance/doc.go
@@ -8,9 +8,9 @@
 // the failure probability plus the cost of a late response and of crossing failure
 // domains. Servers whose queue would delay the response past the latency objective are
 // skipped; if none remains, Pick returns NoRoom. Idempotent requests prefer servers
-// without recent attempts and run the trials of suspected servers. When a service
-// fails part of its requests, all servers that may be healthy get requests, so that
-// the number of servers in use stays above the floor.
+// without recent attempts and run the trials of suspected servers. Servers without recent
+// requests get some, so that the share of servers in use stays above the floor; when a
+// service fails part of its requests, all servers that may be healthy do.
 //
 // A server may say in a response that it leaves, or that it wants no request for a while.
 //
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -89,6 +89,8 @@
 type Options struct {
 	// Domain is the failure domain of this instance.
 	Domain fleet.Domain
+	// Floor is the share of the servers that are kept in use; DefaultFloor if it is zero.
+	Floor  float64
 	Random Random
 	Events Events
 }
@@ -109,18 +111,30 @@
 	// coverage request to a suspected server.
 	recentAttempts attemptCounter
 	coveredAt      time.Time
-	waitLimits     queueWaitLimits
-	notices        notices
+	// coverFailures is the moving average of the share of requests that failed among those
+	// that covered a server in calm times.
+	coverFailures float64
+	// unattended holds the failure domains without an active instance.
+	unattended map[fleet.Domain]bool
+	waitLimits queueWaitLimits
+	notices    notices
 }
 
+// DefaultFloor is the share of the servers that are kept in use if no other is set.
+const DefaultFloor = 0.7
+
 // NewPool returns a pool without servers.
 func NewPool(options Options) *Pool {
+	if options.Floor <= 0 {
+		options.Floor = DefaultFloor
+	}
 	return &Pool{
 		options:       options,
 		byIncarnation: make(map[registry.Incarnation]*server),
 		byKey:         make(map[ServerKey]*server),
 		durations:     make(durationEstimates),
 		notices:       make(notices),
+		coverFailures: baselineProbability,
 	}
 }
 
@@ -146,4 +160,6 @@
 	expectedWait time.Duration
 	stallAfter   time.Duration
 	finished     bool
+	// calmCoverage is set if the attempt covers a server in calm times.
+	calmCoverage bool
 }
--- a/core/balance/reports.go
+++ b/core/balance/reports.go
@@ -101,6 +101,7 @@
 			estimate:    failureEstimate{probability: report.FailureProbability, updatedAt: now.Add(-report.EvidenceAge)},
 			receivedAt:  now,
 		}
+		s.summaryKnown = false
 	}
 }
 
@@ -125,16 +126,47 @@
 	return probability
 }
 
-// remoteOutstanding returns the number of requests that other instances have
-// outstanding on the server.
-func (s *server) remoteOutstanding(now time.Time) int {
-	total := 0
-	for _, r := range s.remoteReports {
-		if now.Sub(r.receivedAt) <= remoteReportTTL {
-			total += r.outstanding
+// remoteSummary is what the reports of other instances say about a server together.
+type remoteSummary struct {
+	// outstanding is the number of their outstanding requests.
+	outstanding int
+	// latest is their estimate with the most recent evidence; zero if there is none.
+	latest failureEstimate
+	// lastRequestAt is when the server had the last of their requests, as far as known.
+	lastRequestAt time.Time
+	// validUntil is when the first of the reports expires.
+	validUntil time.Time
+}
+
+// remote returns the summary of the reports of other instances. It is computed anew only
+// after a report has arrived or expired, since a choice reads it for each server.
+func (s *server) remote(now time.Time) *remoteSummary {
+	if s.summaryKnown && !now.After(s.summary.validUntil) {
+		return &s.summary
+	}
+	summary := remoteSummary{validUntil: now.Add(remoteReportTTL)}
+	for id, r := range s.remoteReports {
+		expiresAt := r.receivedAt.Add(remoteReportTTL)
+		if now.After(expiresAt) {
+			// The instance may be gone, so nothing else would remove its report.
+			delete(s.remoteReports, id)
+			continue
+		}
+		summary.validUntil = fleet.Earlier(summary.validUntil, expiresAt)
+		summary.outstanding += r.outstanding
+		if r.estimate.updatedAt.After(summary.latest.updatedAt) {
+			summary.latest = r.estimate
+		}
+		requestAt := r.estimate.updatedAt
+		if r.outstanding > 0 {
+			requestAt = r.receivedAt
+		}
+		if requestAt.After(summary.lastRequestAt) {
+			summary.lastRequestAt = requestAt
 		}
 	}
-	return total
+	s.summary, s.summaryKnown = summary, true
+	return &s.summary
 }
 
 // finishedProbability returns the probability that the server is failing from this
@@ -142,14 +174,9 @@
 // prevails.
 func (s *server) finishedProbability(now time.Time) float64 {
 	ownProbability := s.ownEstimate.probabilityAt(now)
-	latest := s.ownEstimate.updatedAt
-	probability := ownProbability
-	for _, r := range s.remoteReports {
-		if now.Sub(r.receivedAt) > remoteReportTTL || !r.estimate.updatedAt.After(latest) {
-			continue
-		}
-		latest = r.estimate.updatedAt
-		probability = ownProbability + remoteWeight*(r.estimate.probabilityAt(now)-ownProbability)
+	latest := s.remote(now).latest
+	if !latest.updatedAt.After(s.ownEstimate.updatedAt) {
+		return ownProbability
 	}
-	return probability
+	return ownProbability + remoteWeight*(latest.probabilityAt(now)-ownProbability)
 }
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -37,6 +37,9 @@
 	// one sent by this instance.
 	remoteReports map[fleet.InstanceID]remoteReport
 	sentReport    ServerReport
+	// summary is the summary of remoteReports if summaryKnown is set.
+	summary      remoteSummary
+	summaryKnown bool
 	// slowness is the moving average of the duration of responses divided by the
 	// expected duration, at least 1.
 	slowness float64
@@ -66,7 +69,7 @@
 // requests returns the known number of running and waiting requests on the server,
 // from all instances.
 func (s *server) requests(now time.Time) float64 {
-	known := float64(len(s.attempts) + s.remoteOutstanding(now))
+	known := float64(len(s.attempts) + s.remote(now).outstanding)
 	if now.Sub(s.loadReportedAt) > reportedLoadTTL {
 		return known
 	}
@@ -118,7 +121,7 @@
 // than its queue.
 func (s *server) knownWait(now time.Time, expected time.Duration) time.Duration {
 	if s.loadAssumed {
-		return s.waitBehind(float64(len(s.attempts)+s.remoteOutstanding(now)), expected)
+		return s.waitBehind(float64(len(s.attempts)+s.remote(now).outstanding), expected)
 	}
 	return s.expectedWait(now, expected)
 }
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -59,6 +59,8 @@
 	// one is newer.
 	refusedConfig *follow.RefusedConfig
 	lag           tickLag
+	// unattended holds the failure domains of servers without an active instance.
+	unattended map[fleet.Domain]bool
 	// requestRate is the moving average of the requests per second. requestsStarted
 	// is the total number of requests at rateMeasuredAt.
 	requestRate     float64
@@ -217,13 +219,16 @@
 }
 
 func (s *state) newUpstream(name fleet.ServiceName) *dispatch.Upstream {
+	servers := balance.NewPool(balance.Options{
+		Domain: s.options.Self.Domain,
+		Floor:  s.options.Floor,
+		Random: s.options.Random,
+		Events: s.options.Events,
+	})
+	servers.SetUnattended(s.unattended)
 	return &dispatch.Upstream{
-		Name: name,
-		Servers: balance.NewPool(balance.Options{
-			Domain: s.options.Self.Domain,
-			Random: s.options.Random,
-			Events: s.options.Events,
-		}),
+		Name:         name,
+		Servers:      servers,
 		RepeatWindow: retry.NewWindow(s.localQuota()),
 	}
 }
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -89,6 +89,9 @@
 	Events        Events
 	// Quota is the retry quota of the whole fleet. Each instance uses a part of it.
 	Quota retry.Quota
+	// Floor is the share of the servers of a service that are kept in use; a default if it
+	// is zero.
+	Floor float64
 }
 
 const (
--- a/core/gateway/role.go
+++ b/core/gateway/role.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"galenaridge/core/balance"
@@ -49,6 +50,7 @@
 		s.roleChangedAt = now
 	}
 	s.updateQuotas()
+	s.updateUnattended()
 	s.setFollowing(s.mustFollowStore(now))
 }
 
@@ -150,6 +152,30 @@
 // maxReportedServers bounds the servers in one report, which has to fit into one datagram.
 const maxReportedServers = 90
 
+// updateUnattended tells the pools which failure domains with servers have no active
+// instance.
+func (s *state) updateUnattended() {
+	view := s.workingSet.View()
+	if view.Role() != workset.Active {
+		return
+	}
+	unattended := make(map[fleet.Domain]bool)
+	for _, name := range s.registry.View().Services() {
+		for _, server := range s.registry.View().Servers(name) {
+			if !view.HasActive(server.Domain) {
+				unattended[server.Domain] = true
+			}
+		}
+	}
+	if maps.Equal(unattended, s.unattended) {
+		return
+	}
+	s.unattended = unattended
+	for _, u := range s.upstreams {
+		u.Servers.SetUnattended(unattended)
+	}
+}
+
 // reportServers sends reports about servers to the other active instances. If there are
 // too many servers for one datagram, instances of another failure domain get reports only
 // about the servers there: they rarely use other servers, and traffic between failure
@@ -173,15 +199,16 @@
 			s.sendReports(reports, addresses)
 			continue
 		}
-		s.sendReports(reportsInDomain(reports, domain), addresses)
+		s.sendReports(reportsInDomain(reports, domain, s.unattended), addresses)
 	}
 }
 
-// reportsInDomain returns the reports about servers of a failure domain.
-func reportsInDomain(reports []balance.ServerReport, domain fleet.Domain) []balance.ServerReport {
+// reportsInDomain returns the reports about servers of a failure domain, and of those that
+// have no active instance: all instances cover the servers there.
+func reportsInDomain(reports []balance.ServerReport, domain fleet.Domain, unattended map[fleet.Domain]bool) []balance.ServerReport {
 	var found []balance.ServerReport
 	for _, report := range reports {
-		if report.Domain == domain {
+		if report.Domain == domain || unattended[report.Domain] {
 			found = append(found, report)
 		}
 	}
--- a/core/workset/queries.go
+++ b/core/workset/queries.go
@@ -55,6 +55,9 @@
 // isInUse reports whether an instance is active or the standby.
 func (v *View) isInUse(id fleet.InstanceID) bool { return v.inUse[id] }
 
+// HasActive reports whether a failure domain has an active instance.
+func (v *View) HasActive(domain fleet.Domain) bool { return len(v.active[domain]) > 0 }
+
 // ActiveCount returns the number of active instances.
 func (v *View) ActiveCount() int {
 	count := 0
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -167,6 +167,7 @@
 			Allowance: s.Bounds.RetryAllowance,
 			Span:      s.Bounds.RetryWindow,
 		},
+		Floor: s.Bounds.Floor,
 	})
 	p.callerServer = pipeline.New(pipeline.Options{
 		Clock:        p.clock,
--- a/io/setting/gateway.go
+++ b/io/setting/gateway.go
@@ -51,6 +51,9 @@
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// Floor is the share of the servers of a service that are kept in use, whatever is
+	// estimated of them.
+	Floor float64
 }
 
 // Capacity holds the resources of the machine.
@@ -72,6 +75,7 @@
 		RetryRatio:     0.1,
 		RetryWindow:    10 * time.Second,
 		RetryAllowance: 10,
+		Floor:          0.7,
 	}
 }
 
@@ -96,5 +100,8 @@
 	if g.Bounds.RetryWindow <= 0 || g.Bounds.GracePeriod <= 0 {
 		return fmt.Errorf("the bounds must be positive: retry window %v, grace %v", g.Bounds.RetryWindow, g.Bounds.GracePeriod)
 	}
+	if g.Bounds.Floor < 0 || g.Bounds.Floor > 1 {
+		return fmt.Errorf("the floor must be a share from 0 to 1: %g", g.Bounds.Floor)
+	}
 	return nil
 }
--- /dev/null
+++ b/standin/pattern/floor_test.go
@@ -0,0 +1,113 @@
+package pattern
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var seeds = flag.Int("seeds", 2, "number of seeds of each pattern")
+
+const (
+	// floorShare is the share of the sound servers that must be in use in any floorWindow.
+	floorShare  = 0.7
+	floorWindow = 2 * time.Second
+	// settled is when the estimates of the instances have evidence.
+	settled = 4 * time.Second
+	// minSound is the least number of sound servers for which the share is checked: of
+	// fewer, one more or less decides.
+	minSound = 10
+)
+
+// largeService has no idempotent requests, so nothing but its own requests shows which of
+// its servers are sound.
+func largeService() Pattern {
+	return Pattern{
+		Domains:          []Domain{{Servers: 37, Instances: 1}, {Servers: 37, Instances: 2}, {Servers: 37, Instances: 1}},
+		Slots:            3,
+		Queue:            12,
+		Rate:             437,
+		Work:             240 * time.Millisecond,
+		LatencyObjective: 1200 * time.Millisecond,
+		Deadline:         3 * time.Second,
+		ErrorShare:       0.012,
+		Noise:            Noise{Share: 0.25, Length: 9 * time.Second, Fails: 0.75},
+		Duration:         14 * time.Second,
+	}
+}
+
+// TestFloor guards against healthy servers that get no requests. The floor must hold in any
+// window, also in calm ones: if all instances lose power at the end of a window, the
+// requests in flight fail together, and no instance can know that before.
+func TestFloor(t *testing.T) {
+	const begin, long = 4 * time.Second, 8 * time.Second
+	tests := []struct {
+		name   string
+		change func(p *Pattern)
+	}{
+		{"calm", func(*Pattern) {}},
+		{"calm, little load", func(p *Pattern) { p.Rate = 150 }},
+		{"no server fails", func(p *Pattern) { p.Noise = Noise{} }},
+		{"several instances in each failure domain", func(p *Pattern) {
+			p.Domains = []Domain{{Servers: 37, Instances: 4}, {Servers: 37, Instances: 5}, {Servers: 37, Instances: 3}}
+		}},
+		{"a failure domain without instances", func(p *Pattern) { p.Domains[1].Instances = 0 }},
+		{"old and lost reports", func(p *Pattern) { p.ReportDelay, p.ReportLoss = 800*time.Millisecond, 0.3 }},
+		{"stalls", func(p *Pattern) {
+			p.Faults = []Fault{{Kind: Stall, At: begin, For: long, Share: 0.4, Strength: 0.5}}
+		}},
+		{"stalls and cuts with old reports", func(p *Pattern) {
+			p.ReportDelay = 500 * time.Millisecond
+			p.Faults = []Fault{
+				{Kind: Stall, At: begin, For: long, Share: 0.3, Strength: 0.5},
+				{Kind: Cut, At: begin, For: long, Share: 0.3, Strength: 0.4},
+			}
+		}},
+		{"cuts and errors", func(p *Pattern) {
+			p.Faults = []Fault{
+				{Kind: Cut, At: begin, For: long, Share: 0.4, Strength: 0.25},
+				{Kind: Errors, At: begin, For: long, Share: 0.2, Strength: 0.5},
+			}
+		}},
+		{"most servers fail some requests", func(p *Pattern) {
+			p.Faults = []Fault{{Kind: Errors, At: begin, For: long, Share: 0.7, Strength: 0.25}}
+		}},
+		{"most servers shed", func(p *Pattern) {
+			p.Faults = []Fault{{Kind: Shed, At: begin, For: long, Share: 0.6, Strength: 0.55}}
+		}},
+		{"slow servers", func(p *Pattern) {
+			p.Faults = []Fault{{Kind: Slow, At: begin, For: long, Share: 0.2, Strength: 5}}
+		}},
+		{"servers that join while others stall", func(p *Pattern) {
+			p.Faults = []Fault{
+				{Kind: Join, At: begin, For: time.Second, Share: 0.2},
+				{Kind: Stall, At: begin, For: long, Share: 0.2, Strength: 0.6},
+			}
+		}},
+		{"idempotent requests too", func(p *Pattern) { p.IdempotentShare = 0.4 }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			p := largeService()
+			test.change(&p)
+			for seed := range uint64(*seeds) {
+				result := p.Play(seed)
+				for _, f := range result.Floors(settled, floorWindow) {
+					if f.Sound >= minSound {
+						require.GreaterOrEqual(t, f.Share(), floorShare, "seed %d, from %v: %d of %d sound servers in use", seed, f.From, f.Used, f.Sound)
+					}
+				}
+			}
+		})
+	}
+}
+
+func Example() {
+	result := largeService().Play(1)
+	fmt.Println(result.Share(Served, settled, 10*time.Second) > 0.95)
+	// Output: true
+}
--- /dev/null
+++ b/standin/pattern/pattern.go
@@ -0,0 +1,168 @@
+package pattern
+
+import (
+	"time"
+
+	"galenaridge/core/fleet"
+)
+
+// Pattern describes a service, its load and its faults.
+type Pattern struct {
+	// Domains holds the servers and instances of each failure domain.
+	Domains []Domain
+	// Slots is the number of requests that a server processes at a time, Queue the number
+	// that may wait; further requests are rejected.
+	Slots fleet.Slots
+	Queue int
+	// Rate is the number of requests a second from callers of all failure domains.
+	Rate float64
+	// Work is the mean time that a server needs for a request.
+	Work time.Duration
+	// IdempotentShare is the share of requests that may be repeated.
+	IdempotentShare float64
+	// LatencyObjective and Deadline are counted from the arrival of a request.
+	LatencyObjective time.Duration
+	Deadline         time.Duration
+	// ErrorShare is the share of requests that a sound server fails.
+	ErrorShare float64
+	Noise      Noise
+	Faults     []Fault
+	// ReportLoss is the share of reports between instances that are lost, ReportDelay how
+	// long one takes at most; 10 ms if it is zero.
+	ReportLoss  float64
+	ReportDelay time.Duration
+	Duration    time.Duration
+}
+
+// Domain is one failure domain of a Pattern.
+type Domain struct {
+	Servers   int
+	Instances int
+}
+
+// Noise makes servers fail requests for some seconds, at any time and without an
+// announcement. Every server is sound and failing by turns.
+type Noise struct {
+	// Share is the share of the time that a server is failing, Length the mean length of
+	// such a time; zero means no noise.
+	Share  float64
+	Length time.Duration
+	// Fails is the share of requests that fail meanwhile.
+	Fails float64
+}
+
+// FaultKind is what a Fault does.
+type FaultKind uint8
+
+const (
+	// Errors makes servers fail requests.
+	Errors FaultKind = iota
+	// Stall makes servers hold requests until their deadline.
+	Stall
+	// Shed makes servers reject requests.
+	Shed
+	// Cut makes servers unreachable for some instances.
+	Cut
+	// Slow multiplies the time that servers need.
+	Slow
+	// Join adds servers, which each instance lists at another time until the fault ends.
+	Join
+)
+
+// Fault is a disturbance of some servers.
+type Fault struct {
+	Kind FaultKind
+	At   time.Duration
+	For  time.Duration
+	// Share is the share of the servers. Strength is the share of their requests, the share
+	// of the instances for Cut, and the factor for Slow; Join has none.
+	Share    float64
+	Strength float64
+}
+
+// Outcome is what became of a request.
+type Outcome uint8
+
+const (
+	// Served requests got a complete response.
+	Served Outcome = iota
+	// Failed requests got an error or no response.
+	Failed
+	// Refused requests were not sent to a server that took them.
+	Refused
+)
+
+// Request is the record of one request.
+type Request struct {
+	// ArrivedAt and EndedAt are counted from the start.
+	ArrivedAt time.Duration
+	EndedAt   time.Duration
+	Outcome   Outcome
+}
+
+// Arrival is the arrival of a request at a server.
+type Arrival struct {
+	At     time.Duration
+	Server int
+}
+
+// Result is what Play returns.
+type Result struct {
+	Requests []Request
+	Arrivals []Arrival
+	servers  []*server
+}
+
+// Share returns the share of requests with an outcome that arrived in a span.
+func (r *Result) Share(outcome Outcome, from, to time.Duration) float64 {
+	total, matching := 0, 0
+	for _, request := range r.Requests {
+		if request.ArrivedAt < from || request.ArrivedAt >= to {
+			continue
+		}
+		total++
+		if request.Outcome == outcome {
+			matching++
+		}
+	}
+	return float64(matching) / float64(max(total, 1))
+}
+
+// Floor is the use of sound servers in one window.
+type Floor struct {
+	From time.Duration
+	// Sound is the number of sound servers, Used the number of those that got a request.
+	Sound int
+	Used  int
+}
+
+// Share returns the share of sound servers in use.
+func (f Floor) Share() float64 { return float64(f.Used) / float64(max(f.Sound, 1)) }
+
+// Floors returns the use of sound servers in each window of a length, in steps of a quarter
+// of it, from a time on. A server is sound if it had no fault in the window, in the time
+// before it, and no noise in the window and shortly before.
+func (r *Result) Floors(from, window time.Duration) []Floor {
+	last := r.Requests[len(r.Requests)-1].ArrivedAt
+	var floors []Floor
+	for ; from+window <= last; from += window / 4 {
+		floor := Floor{From: from}
+		used := make(map[int]bool)
+		for _, a := range r.Arrivals {
+			if a.At >= from && a.At < from+window {
+				used[a.Server] = true
+			}
+		}
+		for i, s := range r.servers {
+			if !s.soundDuring(from, from+window) {
+				continue
+			}
+			floor.Sound++
+			if used[i] {
+				floor.Used++
+			}
+		}
+		floors = append(floors, floor)
+	}
+	return floors
+}
--- /dev/null
+++ b/standin/pattern/play.go
@@ -0,0 +1,358 @@
+package pattern
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"galenaridge/core/balance"
+	"galenaridge/core/fleet"
+	"galenaridge/core/registry"
+)
+
+const (
+	// reportInterval is the interval of reports between instances.
+	reportInterval     = 100 * time.Millisecond
+	defaultReportDelay = 10 * time.Millisecond
+	// shedTime is how long a rejection takes, cutTime how long it takes to find that a
+	// server cannot be reached.
+	shedTime = 2 * time.Millisecond
+	cutTime  = 60 * time.Millisecond
+	// maxSends is the number of servers that a request is offered to.
+	maxSends = 5
+	// latencyKind is the kind of all requests: they need the same time.
+	latencyKind balance.RequestKind = "request"
+)
+
+// start is the time of day at which patterns begin; only differences matter.
+var start = time.Unix(1_000_000, 0)
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+// events is a heap of events in order of time.
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// instance is one active instance.
+type instance struct {
+	id     fleet.InstanceID
+	index  int
+	domain int
+	pool   *balance.Pool
+}
+
+// attempt is one attempt of a request.
+type attempt struct {
+	chosen  *balance.Attempt
+	from    *instance
+	request *request
+	server  *server
+}
+
+// request is a request in progress.
+type request struct {
+	index      int
+	idempotent bool
+	deadline   time.Duration
+	tried      []registry.Incarnation
+	sends      int
+}
+
+// player plays one pattern.
+type player struct {
+	pattern   Pattern
+	random    *rand.Rand
+	now       time.Duration
+	queue     events
+	scheduled int
+	servers   []*server
+	byID      map[fleet.ServerID]int
+	instances []*instance
+	byDomain  [][]*instance
+	result    *Result
+}
+
+// Play plays the pattern with a seed.
+func (p Pattern) Play(seed uint64) *Result {
+	if p.ReportDelay <= 0 {
+		p.ReportDelay = defaultReportDelay
+	}
+	y := &player{pattern: p, random: rand.New(rand.NewPCG(seed, 0)), byID: make(map[fleet.ServerID]int), result: &Result{}}
+	y.addServers()
+	y.addInstances()
+	y.after(0, y.arrive)
+	for len(y.queue) > 0 {
+		next := heap.Pop(&y.queue).(event)
+		y.now = next.at
+		next.run()
+	}
+	y.result.servers = y.servers
+	return y.result
+}
+
+// after schedules a function.
+func (y *player) after(delay time.Duration, run func()) {
+	y.scheduled++
+	heap.Push(&y.queue, event{at: y.now + delay, order: y.scheduled, run: run})
+}
+
+func (y *player) clock() time.Time { return start.Add(y.now) }
+
+func domainName(index int) fleet.Domain { return fleet.Domain(fmt.Sprintf("domain-%d", index)) }
+
+func (y *player) addServers() {
+	for d, domain := range y.pattern.Domains {
+		for range domain.Servers {
+			id := fleet.ServerID(fmt.Sprintf("s-%03d", len(y.servers)))
+			s := &server{info: registry.Server{
+				Incarnation: registry.Incarnation{ID: id, StartedAt: 1},
+				Service:     "service",
+				Domain:      domainName(d),
+				Address:     "10.0.0.1:80",
+				Slots:       y.pattern.Slots,
+				Presence:    fleet.Live,
+			}}
+			s.addNoise(&y.pattern, y.random)
+			y.byID[id] = len(y.servers)
+			y.servers = append(y.servers, s)
+		}
+	}
+	total := 0
+	for _, domain := range y.pattern.Domains {
+		total += domain.Instances
+	}
+	for _, fault := range y.pattern.Faults {
+		count := int(fault.Share * float64(len(y.servers)))
+		for _, i := range y.random.Perm(len(y.servers))[:count] {
+			disturbed := span{from: fault.At, to: fault.At + fault.For, fault: fault}
+			if fault.Kind == Cut {
+				disturbed.cutFrom = make(map[int]bool)
+				for _, from := range y.random.Perm(total)[:int(fault.Strength*float64(total)+0.5)] {
+					disturbed.cutFrom[from] = true
+				}
+			}
+			y.servers[i].faults = append(y.servers[i].faults, disturbed)
+		}
+	}
+}
+
+func (y *player) addInstances() {
+	y.byDomain = make([][]*instance, len(y.pattern.Domains))
+	for d, domain := range y.pattern.Domains {
+		for range domain.Instances {
+			i := &instance{
+				id:     fleet.InstanceID(fmt.Sprintf("i-%03d", len(y.instances))),
+				index:  len(y.instances),
+				domain: d,
+				pool:   balance.NewPool(balance.Options{Domain: domainName(d), Random: y.random, Events: noEvents{}}),
+			}
+			i.pool.SetUnattended(y.unattended())
+			y.list(i)
+			y.instances = append(y.instances, i)
+			y.byDomain[d] = append(y.byDomain[d], i)
+			y.after(time.Duration(y.random.Int64N(int64(reportInterval))), func() { y.report(i) })
+		}
+	}
+}
+
+// unattended returns the failure domains without instances.
+func (y *player) unattended() map[fleet.Domain]bool {
+	domains := make(map[fleet.Domain]bool)
+	for d, domain := range y.pattern.Domains {
+		if domain.Instances == 0 {
+			domains[domainName(d)] = true
+		}
+	}
+	return domains
+}
+
+// list gives an instance the list of the servers that it knows, and again when it gets to
+// know another one.
+func (y *player) list(i *instance) {
+	var listed []registry.Server
+	next := y.pattern.Duration
+	for index, s := range y.servers {
+		join, joins := s.joining()
+		if !joins {
+			listed = append(listed, s.info)
+			continue
+		}
+		// The delay depends on the server and the instance only.
+		known := join.from + (join.to-join.from)*time.Duration((index*7+i.index*3)%joinSteps+1)/joinSteps
+		if known <= y.now {
+			listed = append(listed, s.info)
+		} else {
+			next = min(next, known)
+		}
+	}
+	i.pool.Update(listed)
+	if next < y.pattern.Duration {
+		y.after(next-y.now, func() { y.list(i) })
+	}
+}
+
+// joinSteps is the number of different times at which instances list a new server.
+const joinSteps = 10
+
+// report sends the reports of an instance to the others.
+func (y *player) report(from *instance) {
+	if y.now >= y.pattern.Duration {
+		return
+	}
+	reports := from.pool.CollectReports(y.clock())
+	for _, to := range y.instances {
+		if to == from || len(reports) == 0 || y.random.Float64() < y.pattern.ReportLoss {
+			continue
+		}
+		y.after(time.Duration(y.random.Int64N(int64(y.pattern.ReportDelay))), func() { to.pool.ApplyReports(y.clock(), from.id, reports) })
+	}
+	y.after(reportInterval, func() { y.report(from) })
+}
+
+// arrive starts a request at an instance and schedules the next one.
+func (y *player) arrive() {
+	if y.now >= y.pattern.Duration {
+		return
+	}
+	y.after(time.Duration(y.random.ExpFloat64()/y.pattern.Rate*float64(time.Second)), y.arrive)
+	r := &request{
+		index:      len(y.result.Requests),
+		idempotent: y.random.Float64() < y.pattern.IdempotentShare,
+		deadline:   y.now + y.pattern.Deadline,
+	}
+	y.result.Requests = append(y.result.Requests, Request{ArrivedAt: y.now, Outcome: Failed})
+	near := y.byDomain[y.random.IntN(len(y.byDomain))]
+	if len(near) == 0 {
+		near = y.instances
+	}
+	y.send(near[y.random.IntN(len(near))], r)
+}
+
+// send makes the next attempt of a request.
+func (y *player) send(from *instance, r *request) {
+	r.sends++
+	chosen, picked := from.pool.Pick(y.clock(), balance.PickOptions{
+		Kind:             latencyKind,
+		Idempotent:       r.idempotent,
+		AllowTrial:       r.idempotent && r.sends == 1,
+		LatencyObjective: y.pattern.LatencyObjective,
+		TimeLeft:         r.deadline - y.now,
+		Exclude:          r.tried,
+	})
+	if picked != balance.Chosen {
+		y.end(r, Refused)
+		return
+	}
+	r.tried = append(r.tried, chosen.Server.Incarnation)
+	index := y.byID[chosen.Server.ID]
+	a := &attempt{chosen: chosen, from: from, request: r, server: y.servers[index]}
+	if cut, ok := a.server.active(Cut, y.now); ok && cut.cutFrom[from.index] {
+		y.after(cutTime, func() { y.finish(a, balance.Unreachable) })
+		return
+	}
+	y.result.Arrivals = append(y.result.Arrivals, Arrival{At: y.now, Server: index})
+	y.take(a)
+}
+
+// take is the arrival of an attempt at its server.
+func (y *player) take(a *attempt) {
+	s := a.server
+	if f, ok := s.active(Stall, y.now); ok && y.random.Float64() < f.fault.Strength {
+		y.after(a.request.deadline-y.now, func() { y.finish(a, balance.Stalled) })
+		return
+	}
+	f, shedding := s.active(Shed, y.now)
+	if shedding && y.random.Float64() < f.fault.Strength || len(s.waiting) >= y.pattern.Queue {
+		y.after(shedTime, func() { y.finish(a, balance.Shed) })
+		return
+	}
+	if s.running >= int(y.pattern.Slots) {
+		s.waiting = append(s.waiting, &run{attempt: a, deadline: a.request.deadline})
+		return
+	}
+	y.work(a)
+}
+
+// work runs an attempt in a slot.
+func (y *player) work(a *attempt) {
+	s := a.server
+	s.running++
+	failed := y.random.Float64() < s.failShare(y.now, &y.pattern)
+	needed := s.workTime(y.now, &y.pattern, y.random)
+	if failed {
+		needed /= 4
+	}
+	result := balance.Succeeded
+	switch {
+	case y.now+needed > a.request.deadline:
+		needed, result = max(a.request.deadline-y.now, 0), balance.Stalled
+	case failed:
+		result = balance.Failed
+	}
+	y.after(needed, func() {
+		s.running--
+		y.finish(a, result)
+		for len(s.waiting) > 0 && s.running < int(y.pattern.Slots) {
+			next := s.waiting[0]
+			s.waiting = s.waiting[1:]
+			y.work(next.attempt)
+		}
+	})
+}
+
+// finish ends an attempt, and the request unless another attempt may follow.
+func (y *player) finish(a *attempt, result balance.Result) {
+	load := balance.Load{}
+	if result == balance.Succeeded || result == balance.Failed {
+		load = balance.Load{Running: a.server.running, Waiting: len(a.server.waiting), Slots: y.pattern.Slots}
+	}
+	a.chosen.Finish(y.clock(), result, load)
+	notRun := result == balance.Shed || result == balance.Unreachable
+	switch {
+	case result == balance.Succeeded:
+		y.end(a.request, Served)
+	case (notRun || a.request.idempotent) && a.request.sends < maxSends && y.now < a.request.deadline:
+		y.send(a.from, a.request)
+	case notRun:
+		y.end(a.request, Refused)
+	default:
+		y.end(a.request, Failed)
+	}
+}
+
+func (y *player) end(r *request, outcome Outcome) {
+	record := &y.result.Requests[r.index]
+	record.EndedAt, record.Outcome = y.now, outcome
+}
+
+// noEvents ignores the events of a pool.
+type noEvents struct{}
+
+// ServerSuspected implements balance.Events.
+func (noEvents) ServerSuspected(registry.Server, balance.Result, time.Duration, float64) {}
+
+// ServerCleared implements balance.Events.
+func (noEvents) ServerCleared(registry.Server, time.Duration) {}
+
+// ServerAnnouncedLeaving implements balance.Events.
+func (noEvents) ServerAnnouncedLeaving(registry.Server) {}
+
+// ServerPaused implements balance.Events.
+func (noEvents) ServerPaused(registry.Server, time.Duration) {}
