Let bytes decide whether a request crosses failure domains

Cause: a server in another failure domain cost a constant 0.08 in the choice, whatever the size of the request. That is right for 5 KB; an upload of 60 KB crossed for an advantage that its bytes outweighed by far.

Now the choice charges the body of the request, a moving average of the responses of the route, and a constant for headers; 5 KB cost as much as before. The time that a body needs on the instance's own link is no longer counted as time of the server: not for its estimate, not for the duration of its requests, and the queue in front of it must leave room for it.

--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -44,6 +44,8 @@
 	AllowTrial       bool
 	LatencyObjective time.Duration
 	TimeLeft         time.Duration
+	// RequestBytes is the size of the body of the request.
+	RequestBytes int
 	// Exclude lists the servers that were already tried.
 	Exclude []registry.Incarnation
 }
@@ -71,7 +73,7 @@
 		}
 		return nil, NoRoom
 	}
-	expectedWait := chosen.expectedWait(now, expected)
+	expectedWait := p.options.Link.TransferTime(options.RequestBytes) + chosen.expectedWait(now, expected)
 	attempt := &Attempt{
 		Server:             chosen.info,
 		Trial:              trial,
@@ -101,7 +103,9 @@
 	var best, trial *server
 	var bestCost, trialCost float64
 	interval := p.trialInterval(now, options, expected)
-	maxWait := min(p.waitLimits.maxWait(now, options.Priority, options.LatencyObjective-expected), options.TimeLeft-expected/2)
+	transfer := p.options.Link.TransferTime(options.RequestBytes)
+	remoteCost := p.remoteCost(options)
+	maxWait := min(p.waitLimits.maxWait(now, options.Priority, options.LatencyObjective-expected-transfer), options.TimeLeft-transfer-expected/2)
 	for _, s := range p.live {
 		if excluded(options.Exclude, s.info.Incarnation) || p.notices.excludes(now, s.info.Incarnation) || s.knownWait(now, expected) > maxWait {
 			continue
@@ -110,7 +114,7 @@
 		cost := s.loadCost(now, expected, options.LatencyObjective) + tieBreakCost*p.options.Random.Float64()
 		local := s.info.Domain == p.options.Domain
 		if !local {
-			cost += remoteDomainCost
+			cost += remoteCost
 		}
 		if now.Before(s.cutUntil) {
 			cost += cutCost
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -22,9 +22,11 @@
 	// request, as a fraction of the time that its latency objective leaves.
 	latenessCost       = 0.1
 	latenessSquareCost = 0.5
-	// remoteDomainCost is the cost of a server in another failure domain, because
+	// remoteDomainCost is the cost of a server in another failure domain for the delay of
+	// the network, remoteByteCost the cost of each byte in either direction, because
 	// traffic between failure domains is billed.
-	remoteDomainCost = 0.08
+	remoteDomainCost = 0.02
+	remoteByteCost   = 1e-5
 	// coldFactor and coldCost apply to a server that started recently and runs at
 	// about half its speed.
 	coldFactor = 2.0
@@ -90,7 +92,9 @@
 	// Domain is the failure domain of this instance.
 	Domain fleet.Domain
 	// Floor is the share of the servers that are kept in use; DefaultFloor if it is zero.
-	Floor  float64
+	Floor float64
+	// Link is the network link of this instance.
+	Link   fleet.Bandwidth
 	Random Random
 	Events Events
 }
@@ -107,6 +111,7 @@
 	// fullReportAt is the time of the last report of all servers.
 	fullReportAt time.Time
 	durations    durationEstimates
+	sizes        sizeEstimates
 	// recentAttempts and coveredAt control coverage; coveredAt is the time of the last
 	// coverage request to a suspected server.
 	recentAttempts attemptCounter
@@ -133,6 +138,7 @@
 		byIncarnation: make(map[registry.Incarnation]*server),
 		byKey:         make(map[ServerKey]*server),
 		durations:     make(durationEstimates),
+		sizes:         make(sizeEstimates),
 		notices:       make(notices),
 		coverFailures: baselineProbability,
 	}
@@ -156,7 +162,8 @@
 	kind       RequestKind
 	idempotent bool
 	startedAt  time.Time
-	// expectedWait is the estimated time that the attempt waits for a slot.
+	// expectedWait is the estimated time until the server begins with the attempt: the time
+	// that the body needs on the link, and the wait for a slot.
 	expectedWait time.Duration
 	stallAfter   time.Duration
 	finished     bool
--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -149,6 +149,7 @@
 		AllowTrial:       allowTrial,
 		LatencyObjective: r.route.LatencyObjective,
 		TimeLeft:         r.request.Deadline.Sub(now),
+		RequestBytes:     len(r.request.Body),
 		Exclude:          r.triedServers,
 	})
 	if chosen != nil {
@@ -191,6 +192,9 @@
 	now := e.options.Clock.Now()
 	result := balanceResult(response, evidence)
 	chosen.Observe(now, balance.Notice{Leaving: evidence.Draining, Pause: evidence.RetryAfter})
+	if evidence.Complete {
+		chosen.RecordResponseSize(len(response.Body))
+	}
 	chosen.Finish(now, result, evidence.Load)
 	record := AttemptRecord{
 		Server:             chosen.Server.ID,
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -222,6 +222,7 @@
 	servers := balance.NewPool(balance.Options{
 		Domain: s.options.Self.Domain,
 		Floor:  s.options.Floor,
+		Link:   s.options.Link,
 		Random: s.options.Random,
 		Events: s.options.Events,
 	})
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -92,6 +92,8 @@
 	// Floor is the share of the servers of a service that are kept in use; a default if it
 	// is zero.
 	Floor float64
+	// Link is the network link of this machine.
+	Link fleet.Bandwidth
 }
 
 const (
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -168,6 +168,7 @@
 			Span:      s.Bounds.RetryWindow,
 		},
 		Floor: s.Bounds.Floor,
+		Link:  fleet.Mbps(s.Capacity.LinkMbps),
 	})
 	p.callerServer = pipeline.New(pipeline.Options{
 		Clock:        p.clock,
