Bound the memory of uploads, and refuse late requests of a planned stop

Causes, found by reading: - The bodies of requests in progress had no common bound: 200 of the largest ones need 72 MB and were held three times (decoded, cloned, encoded for the server), on machines of 184 MB. - A body could take 10 s to arrive, although its request had ended before. - A planned stop closed a kept connection while a request was read on it. - A response that was written while the next request was read replaced the deadline of that read by the idle time. - A request that arrived after callers had learned of a planned stop was sent to a server even if it could last longer than the process: with deadlines of 6 to 12 s and a grace of 6 s it was cut without a response.

Now bodies take their length (or, in chunks, what arrives) from an eighth of the memory of the machine; what does not fit is refused with 503 and Retry-After before the body is read. A body is held once. Late requests of a stop are refused, truthfully, unless their deadline comes first.

--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -94,6 +94,9 @@
 	r.request.Service = entry.NextService()
 	r.request.Protected = !entry.Idempotent
 	r.request.Deadline = fleet.Earlier(r.request.Deadline, r.arrivedAt.Add(entry.Timeout))
+	if !r.engine.options.ControlState.StopPlan().admits(r.engine.options.Clock.Now(), r.request.Deadline) {
+		return refuseWithRetryAfter(exchange.Stopping, "the instance stops before the deadline of the request", refusalRetryAfter)
+	}
 	upstream, found := r.engine.options.ControlState.Upstream(r.request.Service)
 	if !found {
 		return refuseWithRetryAfter(exchange.NoCapacity, "the service has no servers", refusalRetryAfter)
--- a/core/dispatch/engine_test.go
+++ b/core/dispatch/engine_test.go
@@ -82,6 +82,7 @@
 
 // controlState is a fixed configuration with an idempotent and a non-idempotent route.
 type controlState struct {
+	stopPlan *StopPlan
 	table    *route.Table
 	upstream *Upstream
 	loaded   chan struct{}
@@ -90,6 +91,7 @@
 
 func (s controlState) Routes() *route.Table          { return s.table }
 func (s controlState) ConfigBehind() bool            { return s.behind }
+func (s controlState) StopPlan() *StopPlan           { return s.stopPlan }
 func (s controlState) ConfigLoaded() <-chan struct{} { return s.loaded }
 func (s controlState) Upstream(fleet.ServiceName) (*Upstream, bool) {
 	return s.upstream, s.upstream != nil
@@ -338,6 +340,40 @@
 	}
 }
 
+// TestServeDuringStop guards against requests that arrive late in a planned stop, are sent to
+// a server, and are cut when the process ends: they must be refused at once, truthfully.
+func TestServeDuringStop(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name string
+		plan *StopPlan
+		want int
+	}{
+		{"no stop", nil, 200},
+		{"callers have not learned of the stop yet", &StopPlan{LateAt: now.Add(time.Minute), EndsAt: now.Add(time.Millisecond)}, 200},
+		{"late, but the deadline comes first", &StopPlan{LateAt: now, EndsAt: now.Add(time.Minute)}, 200},
+		{"late, and the process ends first", &StopPlan{LateAt: now, EndsAt: now.Add(time.Millisecond)}, 503},
+	}
+	for _, test := range tests {
+		for _, path := range []string{"/read/", "/write/"} {
+			t.Run(test.name+path, func(t *testing.T) {
+				e, sender, _ := newEngine(t, 3, ampleQuota, respondWith(200))
+				state := e.options.ControlState.(controlState)
+				state.stopPlan = test.plan
+				e.options.ControlState = state
+				response := e.Serve(context.Background(), requestFor(path))
+				require.Equal(t, test.want, response.Status)
+				if test.want == 503 {
+					require.Equal(t, fleet.NotRun, response.Outcome)
+					require.Equal(t, exchange.Stopping, response.Code)
+					require.Positive(t, response.RetryAfter)
+					require.Zero(t, sender.count(), "nothing was sent")
+				}
+			})
+		}
+	}
+}
+
 // lateConfig is a control state whose configuration is available once the loaded
 // channel is closed.
 type lateConfig struct {
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -29,6 +29,8 @@
 	// ConfigLoaded returns a channel that is closed once a configuration has been
 	// loaded.
 	ConfigLoaded() <-chan struct{}
+	// StopPlan returns the plan of the planned stop that is under way, or nil.
+	StopPlan() *StopPlan
 	// Upstream returns a service, or false if it has no servers.
 	Upstream(name fleet.ServiceName) (*Upstream, bool)
 	// Usable reports whether this incarnation of a server is still listed and accepts
@@ -36,6 +38,20 @@
 	Usable(service fleet.ServiceName, server registry.Incarnation) bool
 }
 
+// StopPlan holds the times of a planned stop.
+type StopPlan struct {
+	// LateAt is when callers have learned of the stop: their addresses have expired.
+	LateAt time.Time
+	// EndsAt is when the process closes all connections.
+	EndsAt time.Time
+}
+
+// admits reports whether a request that arrives at a time may begin. A late one must end
+// before the process does, even if its server stalls: it would be cut without a response.
+func (p *StopPlan) admits(now, deadline time.Time) bool {
+	return p == nil || now.Before(p.LateAt) || !deadline.After(p.EndsAt)
+}
+
 // Sender makes single attempts; it must not retry.
 type Sender interface {
 	Send(ctx context.Context, a Attempt) (exchange.Response, attempt.Evidence)
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"galenaridge/core/dispatch"
 	"galenaridge/core/fleet"
 	"galenaridge/core/follow"
 	"galenaridge/core/route"
@@ -161,12 +162,12 @@
 
 // Stop begins a planned stop: callers are sent to other instances. It returns at once
 // if the context ends first.
-func (l *Loop) Stop(ctx context.Context) {
+func (l *Loop) Stop(ctx context.Context, plan dispatch.StopPlan) {
 	l.submit(ctx, func(s *state) {
-		if s.stopping {
+		if s.stopPlan != nil {
 			return
 		}
-		s.stopping = true
+		s.stopPlan = &plan
 		s.options.Events.Stopping()
 		s.updateRole(s.options.Clock.Now())
 	})
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -54,7 +54,8 @@
 	// peerHasCopy is set once a heartbeat shows that another instance has a copy of
 	// the store.
 	peerHasCopy bool
-	stopping    bool
+	// stopPlan is set during a planned stop.
+	stopPlan *dispatch.StopPlan
 	// refusedConfig is the newest configuration that cannot be used, nil if the active
 	// one is newer.
 	refusedConfig *follow.RefusedConfig
@@ -162,7 +163,7 @@
 		confirmedAt:  s.confirmedAt,
 		refused:      s.refusedConfig,
 		configBehind: s.announcedConfig.isBehind(s.options.Clock.Now()),
-		stopping:     s.stopping,
+		stopPlan:     s.stopPlan,
 	}
 }
 
@@ -180,7 +181,7 @@
 	}
 	s.readLateConfig(now)
 	s.tickCount++
-	if s.workingSet.View().Role() == workset.Idle && s.loaded() && !s.stopping && s.tickCount%idleTicksPerUpdate != 0 {
+	if s.workingSet.View().Role() == workset.Idle && s.loaded() && s.stopPlan == nil && s.tickCount%idleTicksPerUpdate != 0 {
 		return
 	}
 	s.updateRequestRate(now)
--- a/core/gateway/role.go
+++ b/core/gateway/role.go
@@ -26,8 +26,8 @@
 // updateRole recomputes the working set and follows the role of this instance in it.
 func (s *state) updateRole(now time.Time) {
 	if s.workingSet.SetLocalStatus(workset.LocalStatus{
-		Leaving:          s.stopping,
-		Ready:            s.loaded() && !s.stopping,
+		Leaving:          s.stopPlan != nil,
+		Ready:            s.loaded() && s.stopPlan == nil,
 		Slow:             s.lag.slow,
 		StoreUnreachable: s.followingStore && s.storeLost,
 		RequestRate:      s.requestRate,
@@ -140,7 +140,7 @@
 // setFollowing starts or stops reading the store. During a planned stop, an
 // instance that reads the store continues to do so.
 func (s *state) setFollowing(on bool) {
-	on = on || (s.stopping && s.followingStore)
+	on = on || s.stopPlan != nil && s.followingStore
 	if on == s.followingStore {
 		return
 	}
--- a/core/gateway/view.go
+++ b/core/gateway/view.go
@@ -27,7 +27,7 @@
 	configBehind bool
 	// refused is the newest configuration that cannot be used; nil if there is none.
 	refused  *follow.RefusedConfig
-	stopping bool
+	stopPlan *dispatch.StopPlan
 }
 
 // noRoutes is the configuration while the instance has no copy of the store.
@@ -96,14 +96,17 @@
 func (v *View) ConfigBehind() bool { return v.configBehind }
 
 // Stopping reports whether a planned stop has begun.
-func (v *View) Stopping() bool { return v.stopping }
+func (v *View) Stopping() bool { return v.stopPlan != nil }
+
+// StopPlan returns the plan of the planned stop that is under way, or nil.
+func (v *View) StopPlan() *dispatch.StopPlan { return v.stopPlan }
 
 // Loaded reports whether the instance has a configuration and a server listing.
 func (v *View) Loaded() bool { return v.routes.Ready() && v.revision > 0 }
 
 // Ready reports whether this instance should be assigned to callers.
 func (v *View) Ready() bool {
-	return v.Loaded() && !v.stopping
+	return v.Loaded() && !v.Stopping()
 }
 
 // UnreadyReason returns why the instance is not ready, empty if it is.
@@ -111,7 +114,7 @@
 	switch {
 	case v.Ready():
 		return ""
-	case v.stopping:
+	case v.Stopping():
 		return "a planned stop is under way"
 	case !v.routes.Ready() && v.refused != nil:
 		return "no configuration is active: " + v.refused.Error()
--- a/io/caller/pipeline/conn.go
+++ b/io/caller/pipeline/conn.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"galenaridge/core/exchange"
+	"galenaridge/io/memory"
 )
 
 // conn is a connection from a caller.
@@ -21,6 +22,7 @@
 	options Options
 	socket  net.Conn
 	reader  *bufio.Reader
+	body    bodyInput
 	cancel  context.CancelFunc
 	ctx     context.Context
 	queue   chan *pendingResponse
@@ -33,6 +35,8 @@
 	finishedRequests int
 	// ending is set when no further request will be read.
 	ending bool
+	// receiving is set while a request is read.
+	receiving bool
 }
 
 // pendingResponse is the response to a request that was read. It is valid when done
@@ -63,11 +67,12 @@
 	p.pool.Put(r)
 }
 
-func newConn(options Options, socket net.Conn) *conn {
+func newConn(options Options, bodies *memory.Budget, socket net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &conn{
 		options: options,
 		socket:  socket,
+		body:    bodyInput{socket: socket, clock: options.Clock, memory: bodies},
 		ctx:     ctx,
 		cancel:  cancel,
 		queue:   make(chan *pendingResponse, maxPending),
@@ -76,7 +81,7 @@
 
 // serve serves the requests of the connection until it ends.
 func (c *conn) serve() {
-	c.reader = readBuffers.get(c.socket)
+	c.reader = readBuffers.get(&c.body)
 	var wg conc.WaitGroup
 	wg.Go(c.writeResponses)
 	c.readRequests(&wg)
@@ -94,6 +99,7 @@
 			return
 		}
 		request, failureResponse := c.readRequest()
+		c.endReceiving()
 		if failureResponse != nil {
 			c.enqueue(failureResponse)
 			c.awaitClose()
@@ -105,9 +111,11 @@
 			closeAfter: request.closeAfter,
 		}
 		if !c.enqueue(p) {
+			c.body.memory.GiveBack(request.bodyMemory)
 			return
 		}
 		wg.Go(func() {
+			defer c.body.memory.GiveBack(request.bodyMemory)
 			defer close(p.done)
 			p.response = c.options.Handler.Serve(c.ctx, request.Request)
 		})
@@ -160,7 +168,7 @@
 		c.setIdleDeadline()
 		_, err := c.reader.Peek(1)
 		switch {
-		case err == nil && c.isEnding():
+		case err == nil && !c.beginReceiving():
 			c.discardInput()
 			return false
 		case err == nil:
@@ -181,6 +189,9 @@
 func (c *conn) setIdleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.receiving {
+		return
+	}
 	if c.openRequests > 0 {
 		_ = c.socket.SetReadDeadline(time.Time{})
 		return
@@ -215,10 +226,19 @@
 	return c.openRequests > 0
 }
 
-func (c *conn) isEnding() bool {
+// beginReceiving marks that a request is being read. It returns false if the connection is
+// ending, so that no request will be read.
+func (c *conn) beginReceiving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = !c.ending
+	return c.receiving
+}
+
+func (c *conn) endReceiving() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending
+	c.receiving = false
 }
 
 // expiredDeadline is a read deadline in the past, which ends a blocked read at once.
@@ -300,11 +320,11 @@
 	_ = c.socket.SetReadDeadline(c.options.Clock.Now().Add(lingerTimeout))
 }
 
-// closeIfIdle ends the connection if it has no open request and has served at least
-// one.
+// closeIfIdle ends the connection if it has no open request, reads none, and has served at
+// least one.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
-	idle := c.openRequests == 0 && c.finishedRequests > 0
+	idle := c.openRequests == 0 && !c.receiving && c.finishedRequests > 0
 	if idle {
 		c.ending = true
 	}
--- a/io/caller/pipeline/options.go
+++ b/io/caller/pipeline/options.go
@@ -49,14 +49,23 @@
 	HeaderParser HeaderParser
 	Policy       Policy
 	Log          logrus.FieldLogger
+	// BodyMemory bounds the bytes of all request bodies in progress; 16 MiB by default.
+	BodyMemory int
 }
 
 const (
 	// maxPending is the number of requests of one connection whose responses may be
 	// pending. No further request is read while it is reached.
 	maxPending = 32
-	// bodyTimeout bounds the time to receive a body after its header.
-	bodyTimeout = 10 * time.Second
+	// bodyTimeout bounds the time to receive a body after its header, bodyStallTimeout the
+	// time without a byte of it. TCP sends a lost packet again after 1 s, and then after 2 s
+	// more.
+	bodyTimeout      = 10 * time.Second
+	bodyStallTimeout = 4 * time.Second
+	// defaultBodyMemory applies if the options set no limit.
+	defaultBodyMemory = 16 << 20
+	// memoryRetryAfter is the retry delay sent to a caller whose body finds no room.
+	memoryRetryAfter = 200 * time.Millisecond
 	// writeTimeout bounds the time to write one response, so that a caller that does
 	// not read cannot hold its memory for longer.
 	writeTimeout = 10 * time.Second
--- a/io/caller/pipeline/request.go
+++ b/io/caller/pipeline/request.go
@@ -6,16 +6,20 @@
 	"net"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
 	"galenaridge/io/http1"
 )
 
 // parsedRequest is a whole request that was read from a connection.
 type parsedRequest struct {
 	Request exchange.Request
+	// bodyMemory is the number of bytes that the body takes from the memory for bodies.
+	bodyMemory int
 	// closeAfter is set if the caller sends no further request on the connection.
 	closeAfter bool
 }
@@ -42,8 +46,9 @@
 	if err != nil {
 		return parsedRequest{}, errorResponse(exchange.BadRequest, err.Error())
 	}
-	_ = c.socket.SetReadDeadline(c.options.Clock.Now().Add(bodyTimeout))
-	if err := c.readBody(decoded, limits.MaxBodyBytes); err != nil {
+	deadline := started.Add(timeLeft)
+	bodyMemory, err := c.readBody(decoded, deadline, limits.MaxBodyBytes)
+	if err != nil {
 		return parsedRequest{}, c.readErrorResponse(err)
 	}
 	request := exchange.Request{
@@ -51,32 +56,59 @@
 		Host:     string(decoded.Header.Peek(fasthttp.HeaderHost)),
 		Method:   string(decoded.Header.Method()),
 		URI:      string(decoded.Header.RequestURI()),
-		Deadline: started.Add(timeLeft),
+		Deadline: deadline,
 		Headers:  http1.CopyHeaders(decoded.Header.AllInOrder(), keepAllHeaders),
 	}
-	if body := decoded.Body(); len(body) > 0 {
-		request.Body = bytes.Clone(body)
+	if len(decoded.Body()) > 0 {
+		// The request keeps the buffer, which is not copied: a body may be large.
+		request.Body = decoded.SwapBody(nil)
 	}
-	return parsedRequest{Request: request, closeAfter: decoded.Header.ConnectionClose()}, nil
+	return parsedRequest{Request: request, bodyMemory: bodyMemory, closeAfter: decoded.Header.ConnectionClose()}, nil
 }
 
 func keepAllHeaders([]byte) bool { return true }
 
-// readBody reads a body of at most maxBytes. If the caller waits for it, it sends
-// the interim response 100 first.
-func (c *conn) readBody(request *fasthttp.Request, maxBytes int) error {
+// chunkedLength is the length that fasthttp states for a chunked body.
+const chunkedLength = -1
+
+// readBody reads a body of at most maxBytes, which must arrive before the deadline of the
+// request. If the caller waits for it, it sends the interim response 100 first. It returns
+// the bytes that the body takes from the memory for bodies.
+func (c *conn) readBody(request *fasthttp.Request, deadline time.Time, maxBytes int) (bodyMemory int, err error) {
+	length := request.Header.ContentLength()
+	if length > maxBytes {
+		return 0, fasthttp.ErrBodyTooLarge
+	}
+	bytes := max(length, 0)
+	if length == chunkedLength {
+		bytes = c.reader.Buffered()
+	}
+	defer func() {
+		taken := c.body.end()
+		if err != nil {
+			c.body.memory.GiveBack(taken)
+			return
+		}
+		bodyMemory = taken
+	}()
+	if err := c.body.begin(fleet.Earlier(deadline, c.options.Clock.Now().Add(bodyTimeout)), bytes, length != chunkedLength); err != nil {
+		return 0, err
+	}
 	if request.MayContinue() {
 		if c.hasOpenRequests() {
-			return errors.New("a request with Expect: 100-continue must not be pipelined after another request")
+			return 0, errors.New("a request with Expect: 100-continue must not be pipelined after another request")
 		}
 		if _, err := c.socket.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	if request.Header.ContentLength() > maxBytes {
-		return fasthttp.ErrBodyTooLarge
+	if err := request.ContinueReadBody(c.reader, maxBytes, false); err != nil {
+		if c.body.err != nil {
+			return 0, c.body.err
+		}
+		return 0, err
 	}
-	return request.ContinueReadBody(c.reader, maxBytes, false)
+	return 0, nil
 }
 
 // readErrorResponse returns the response to a request that could not be read.
@@ -84,6 +116,10 @@
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
+	case errors.Is(err, errBodyMemory):
+		p := errorResponse(exchange.Overloaded, "the request bodies in progress need too much memory")
+		p.response.RetryAfter = memoryRetryAfter
+		return p
 	case errors.As(err, &smallBuffer):
 		return errorResponse(exchange.HeaderTooLarge, "the header is too large")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
--- a/io/caller/pipeline/server.go
+++ b/io/caller/pipeline/server.go
@@ -9,11 +9,15 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+
+	"galenaridge/io/memory"
 )
 
 // Server accepts the connections of callers.
 type Server struct {
 	options Options
+	// bodies bounds the bytes of all request bodies in progress.
+	bodies *memory.Budget
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -25,7 +29,10 @@
 
 // New returns a server. It accepts connections after Serve is called.
 func New(options Options) *Server {
-	return &Server{options: options, conns: make(map[*conn]struct{})}
+	if options.BodyMemory <= 0 {
+		options.BodyMemory = defaultBodyMemory
+	}
+	return &Server{options: options, bodies: memory.NewBudget(options.BodyMemory), conns: make(map[*conn]struct{})}
 }
 
 // acceptRetryInterval is the delay before the next accept after a temporary failure,
@@ -64,7 +71,7 @@
 }
 
 func (s *Server) startConn(socket net.Conn) {
-	c := newConn(s.options, socket)
+	c := newConn(s.options, s.bodies, socket)
 	s.mu.Lock()
 	if s.stopped {
 		s.mu.Unlock()
@@ -92,6 +99,9 @@
 	return len(s.conns)
 }
 
+// BodyBytes returns the bytes of all request bodies in progress.
+func (s *Server) BodyBytes() int { return s.bodies.Used() }
+
 // CloseIdleConnections closes the connections that have no open request and have
 // served at least one. New connections stay open, since their first request is most
 // likely in transit.
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -44,6 +44,7 @@
 	}
 	p.metrics.NewGauge("galenaridge_requests_in_flight", func() float64 { return float64(p.engine.InFlight()) })
 	p.metrics.NewGauge("galenaridge_caller_connections", func() float64 { return float64(p.callerServer.OpenConnections()) })
+	p.metrics.NewGauge("galenaridge_request_body_bytes", func() float64 { return float64(p.callerServer.BodyBytes()) })
 	p.metrics.NewGauge("galenaridge_server_connections_opened_total", func() float64 { return float64(p.serverPool.ConnectionStats().Opened) })
 	p.metrics.NewGauge("galenaridge_server_connections_reused_total", func() float64 { return float64(p.serverPool.ConnectionStats().Reused) })
 }
--- a/io/gateway/ports.go
+++ b/io/gateway/ports.go
@@ -26,6 +26,9 @@
 // ConfigLoaded implements dispatch.ControlState.
 func (s controlState) ConfigLoaded() <-chan struct{} { return s.process.control.Loaded() }
 
+// StopPlan implements dispatch.ControlState.
+func (s controlState) StopPlan() *dispatch.StopPlan { return s.process.control.View().StopPlan() }
+
 // Upstream implements dispatch.ControlState.
 func (s controlState) Upstream(name fleet.ServiceName) (*dispatch.Upstream, bool) {
 	return s.process.control.View().Upstream(name)
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -176,6 +176,7 @@
 		HeaderParser: p.options.Adapter.CallerHeaderParser(),
 		Policy:       callerPolicy{p},
 		Log:          p.log,
+		BodyMemory:   int(s.Capacity.MemoryMB * 1e6 * requestMemoryShare),
 	})
 	p.registerGauges()
 	return p.openHTTPServers()
@@ -186,6 +187,10 @@
 	return listener, eris.Wrapf(err, "cannot listen for %s on %s", name, address)
 }
 
+// requestMemoryShare is the share of the memory that the bodies of requests in progress may
+// use. Until they are collected, they need about twice as much.
+const requestMemoryShare = 1.0 / 8
+
 // responseMemoryShare is the share of the memory that the bytes of responses in progress may
 // use. Until they are collected, they need several times as much.
 const responseMemoryShare = 1.0 / 12
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"galenaridge/core/dispatch"
 	"galenaridge/core/fleet"
 	"galenaridge/core/workset"
 )
@@ -32,11 +33,12 @@
 func (p *Process) stop(ctx context.Context) {
 	start := p.clock.Now()
 	hasCallers := p.control.View().WorkingSet().Role() != workset.Idle || p.callerServer.OpenConnections() > 0
-	p.control.Stop(ctx)
 	deadline := start.Add(p.options.Settings.Bounds.GracePeriod - killMargin)
+	addressesExpire := fleet.Earlier(start.Add(maxAddressTTLs*addressTTL), deadline)
+	p.control.Stop(ctx, dispatch.StopPlan{LateAt: addressesExpire, EndsAt: deadline})
 	closeIdleAt := start.Add(minLeavingTime)
 	if hasCallers {
-		closeIdleAt = fleet.Earlier(start.Add(maxAddressTTLs*addressTTL+minLeavingTime), deadline)
+		closeIdleAt = fleet.Earlier(addressesExpire.Add(minLeavingTime), deadline)
 	}
 	for {
 		now := p.clock.Now()
--- /dev/null
+++ b/io/memory/doc.go
@@ -0,0 +1,2 @@
+// Package memory bounds the bytes of all messages in progress.
+package memory
--- a/io/upstream/budget.go
+++ b/io/upstream/budget.go
@@ -2,7 +2,8 @@
 
 import (
 	"errors"
-	"sync/atomic"
+
+	"galenaridge/io/memory"
 )
 
 const (
@@ -23,30 +24,12 @@
 	errMemory  = errors.New("the responses in progress need too much memory")
 )
 
-// memoryBudget bounds the bytes of all responses in progress. It is safe for concurrent
-// use.
-type memoryBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// take adds bytes and reports whether they fit.
-func (m *memoryBudget) take(bytes int) bool {
-	if m.used.Add(int64(bytes)) <= m.limit {
-		return true
-	}
-	m.used.Add(-int64(bytes))
-	return false
-}
-
-func (m *memoryBudget) giveBack(bytes int) { m.used.Add(-int64(bytes)) }
-
 // readBudget bounds what a connection reads for one response. A server may send bytes
 // without end; a parser that skips them would read until the deadline.
 type readBudget struct {
 	left int
 	// memory is shared by the connections of a pool; nil if there is no common bound.
-	memory *memoryBudget
+	memory *memory.Budget
 	read   int
 	taken  int
 }
@@ -61,7 +44,7 @@
 	if b.memory == nil || b.read <= freeBytes {
 		return nil
 	}
-	if !b.memory.take(bytes) {
+	if !b.memory.Take(bytes) {
 		return errMemory
 	}
 	b.taken += bytes
@@ -76,7 +59,7 @@
 // reset ends the response: its bytes no longer count, and the next header may be read.
 func (b *readBudget) reset() {
 	if b.memory != nil {
-		b.memory.giveBack(b.taken)
+		b.memory.GiveBack(b.taken)
 	}
 	b.left, b.read, b.taken = maxHeadBytes, 0, 0
 }
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -15,6 +15,7 @@
 	"galenaridge/core/exchange"
 	"galenaridge/core/fleet"
 	"galenaridge/core/registry"
+	"galenaridge/io/memory"
 )
 
 const (
@@ -54,7 +55,7 @@
 // methods may be called concurrently.
 type Pool struct {
 	options PoolOptions
-	memory  memoryBudget
+	memory  *memory.Budget
 
 	mu          sync.Mutex
 	idleConns   map[registry.Incarnation][]idleConn
@@ -76,7 +77,7 @@
 	}
 	return &Pool{
 		options:   options,
-		memory:    memoryBudget{limit: int64(options.MemoryBudget)},
+		memory:    memory.NewBudget(options.MemoryBudget),
 		idleConns: make(map[registry.Incarnation][]idleConn),
 	}
 }
@@ -189,7 +190,7 @@
 		dialer:         net.Dialer{KeepAlive: -1, Control: setUnackedTimeout},
 	})
 	if err == nil {
-		c.budget.memory = &p.memory
+		c.budget.memory = p.memory
 		p.countOpened()
 	}
 	return c, err
--- a/io/upstream/round_trip.go
+++ b/io/upstream/round_trip.go
@@ -41,20 +41,20 @@
 
 // run writes the request and reads its response.
 func (t *roundTrip) run(ctx context.Context) (exchange.Response, *Error) {
-	encoded, err := t.encodeRequest()
+	head, err := t.encodeHead()
 	if err != nil {
 		return exchange.Response{}, &Error{Fault: Malformed, cause: err}
 	}
 	if fault := t.checkMayWrite(ctx); fault != nil {
 		return exchange.Response{}, fault
 	}
-	if len(encoded) <= maxSyncWriteBytes {
-		if fault := t.writeRequest(ctx, encoded); fault != nil {
-			return exchange.Response{}, fault
-		}
-		return t.readResponse(ctx)
+	if body := t.attempt.Request.Body; len(head)+len(body) > maxSyncWriteBytes {
+		return t.readWhileWriting(ctx, head, body)
+	}
+	if fault := t.writeRequest(ctx, append(head, t.attempt.Request.Body...)); fault != nil {
+		return exchange.Response{}, fault
 	}
-	return t.readWhileWriting(ctx, encoded)
+	return t.readResponse(ctx)
 }
 
 // checkMayWrite checks, right before the first byte is written, that the request may
@@ -90,13 +90,18 @@
 
 // readWhileWriting reads the response while the request is written. If the response
 // is received before the whole request is written, the connection must be closed,
-// since the server still expects the rest.
-func (t *roundTrip) readWhileWriting(ctx context.Context, encoded []byte) (exchange.Response, *Error) {
+// since the server still expects the rest. The body is not copied: it may be large.
+func (t *roundTrip) readWhileWriting(ctx context.Context, head, body []byte) (exchange.Response, *Error) {
 	var writing conc.WaitGroup
 	written := make(chan int, 1)
 	t.evidence.Written = true
 	writing.Go(func() {
-		n, err := t.conn.socket.Write(encoded)
+		n, err := t.conn.socket.Write(head)
+		if err == nil {
+			var bodyBytes int
+			bodyBytes, err = t.conn.socket.Write(body)
+			n += bodyBytes
+		}
 		if err != nil && n == 0 {
 			t.conn.close()
 		}
@@ -105,7 +110,7 @@
 	response, fault := t.readResponse(ctx)
 	select {
 	case n := <-written:
-		t.mustClose = t.mustClose || n < len(encoded)
+		t.mustClose = t.mustClose || n < len(head)+len(body)
 		if n == 0 {
 			t.evidence.Written = false
 		}
@@ -202,13 +207,14 @@
 	return response, nil
 }
 
-func (t *roundTrip) encodeRequest() ([]byte, error) {
+// encodeHead returns the request line and the header. It has room for a small body.
+func (t *roundTrip) encodeHead() ([]byte, error) {
 	request := &t.attempt.Request
 	if !isValidLinePart(request.Method) || !isValidLinePart(request.URI) || !isValidLinePart(request.Host) {
 		return nil, errors.New("the method, the URI or the host is not valid")
 	}
 	timeLeft := t.attempt.Deadline.Sub(t.options.Clock.Now())
-	b := make([]byte, 0, 512+len(request.Body))
+	b := make([]byte, 0, 512+min(len(request.Body), maxSyncWriteBytes))
 	b = append(b, request.Method...)
 	b = append(b, ' ')
 	b = append(b, request.URI...)
@@ -226,8 +232,7 @@
 	if len(request.Body) > 0 || !usuallyHasNoBody(request.Method) {
 		b = appendHeaderField(b, fasthttp.HeaderContentLength, strconv.Itoa(len(request.Body)))
 	}
-	b = append(b, '\r', '\n')
-	return append(b, request.Body...), nil
+	return append(b, '\r', '\n'), nil
 }
 
 // noneReserved reserves no header, so that callers receive the header fields that the
