--- /dev/null
+++ b/io/upstream/upload_test.go
@@ -0,0 +1,106 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"galenaridge/core/exchange"
+	"galenaridge/core/fleet"
+	"galenaridge/core/registry"
+)
+
+// earlyServer accepts connections and responds as soon as it has read the header of a
+// request, and a part of its body. It reads on afterwards, or closes the connection.
+type earlyServer struct {
+	response string
+	reads    int
+	closes   bool
+}
+
+func (s earlyServer) start(t *testing.T) registry.Server {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+	})
+	return registry.Server{
+		Incarnation: registry.Incarnation{ID: "early", StartedAt: 1}, Service: "s", Domain: "a",
+		Address: fleet.Address(listener.Addr().String()), Slots: 4,
+	}
+}
+
+func (s earlyServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.CopyN(io.Discard, request.Body, int64(s.reads)); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, strings.ReplaceAll(s.response, "ID", request.Header.Get("Galenaridge-Request-Id"))); err != nil || s.closes {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+}
+
+// TestPoolEarlyResponses guards against an early response to a large body that is lost, and
+// against the rest of that body in the place of the next request.
+func TestPoolEarlyResponses(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nGalenaridge-Request-Id: ID\r\nGalenaridge-Server-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+	const shed = "HTTP/1.1 503 Service Unavailable\r\nGalenaridge-Request-Id: ID\r\nGalenaridge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct {
+		name     string
+		server   earlyServer
+		status   int
+		declined bool
+	}{
+		{"whole, after the header", earlyServer{response: whole}, 200, false},
+		{"whole, in the middle of the body", earlyServer{response: whole, reads: 200_000}, 200, false},
+		{"shed after the header", earlyServer{response: shed}, 503, true},
+		{"shed in the middle of the body", earlyServer{response: shed, reads: 200_000}, 503, true},
+		{"shed at the end of the body", earlyServer{response: shed, reads: 360_000, closes: true}, 503, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p, entry := newPool(t), test.server.start(t)
+			for i := range 4 {
+				attempt := newAttempt(entry, fmt.Sprintf("r%d", i), strings.Repeat("x", 360_000))
+				attempt.Deadline = time.Now().Add(2 * time.Second)
+				response, evidence := p.Send(context.Background(), attempt)
+				require.Equal(t, test.status, response.Status, "%v", evidence.Err)
+				require.Equal(t, test.declined, evidence.Declined)
+				if test.declined {
+					require.Equal(t, exchange.Overloaded, response.Code)
+				} else {
+					require.Equal(t, "ok", string(response.Body))
+				}
+			}
+		})
+	}
+}
--- a/standin/pattern/floor_test.go
+++ b/standin/pattern/floor_test.go
@@ -35,6 +35,8 @@
 		Deadline:         3 * time.Second,
 		ErrorShare:       0.012,
 		Noise:            Noise{Share: 0.25, Length: 9 * time.Second, Fails: 0.75},
+		RepeatRatio:      0.18,
+		RepeatAllowance:  100,
 		Duration:         14 * time.Second,
 	}
 }
--- a/standin/pattern/pattern.go
+++ b/standin/pattern/pattern.go
@@ -31,7 +31,11 @@
 	// long one takes at most; 10 ms if it is zero.
 	ReportLoss  float64
 	ReportDelay time.Duration
-	Duration    time.Duration
+	// RepeatRatio and RepeatAllowance are the quota of repeats of all instances together, in
+	// any 10 s.
+	RepeatRatio     float64
+	RepeatAllowance float64
+	Duration        time.Duration
 }
 
 // Domain is one failure domain of a Pattern.
@@ -84,8 +88,10 @@
 type Outcome uint8
 
 const (
-	// Served requests got a complete response.
+	// Served requests got a complete response within the latency objective.
 	Served Outcome = iota
+	// Late requests got one after it.
+	Late
 	// Failed requests got an error or no response.
 	Failed
 	// Refused requests were not sent to a server that took them.
--- a/standin/pattern/play.go
+++ b/standin/pattern/play.go
@@ -9,6 +9,7 @@
 	"galenaridge/core/balance"
 	"galenaridge/core/fleet"
 	"galenaridge/core/registry"
+	"galenaridge/core/retry"
 )
 
 const (
@@ -19,12 +20,21 @@
 	// server cannot be reached.
 	shedTime = 2 * time.Millisecond
 	cutTime  = 60 * time.Millisecond
-	// maxSends is the number of servers that a request is offered to.
+	// maxSends is the number of servers that a request is offered to, maxRuns the number of
+	// those that may run one that may be repeated.
 	maxSends = 5
+	maxRuns  = 2
+	// minRepeatsForTrial is the number of repeats that must be left for a trial.
+	minRepeatsForTrial = 3
+	// refusalWait is the time after which a refused caller comes back.
+	refusalWait = 150 * time.Millisecond
 	// latencyKind is the kind of all requests: they need the same time.
 	latencyKind balance.RequestKind = "request"
 )
 
+// repeatSpan is the window of the quota of repeats.
+const repeatSpan = 10 * time.Second
+
 // start is the time of day at which patterns begin; only differences matter.
 var start = time.Unix(1_000_000, 0)
 
@@ -56,6 +66,7 @@
 	index  int
 	domain int
 	pool   *balance.Pool
+	quota  *retry.Window
 }
 
 // attempt is one attempt of a request.
@@ -73,6 +84,7 @@
 	deadline   time.Duration
 	tried      []registry.Incarnation
 	sends      int
+	runs       int
 }
 
 // player plays one pattern.
@@ -161,6 +173,7 @@
 				id:     fleet.InstanceID(fmt.Sprintf("i-%03d", len(y.instances))),
 				index:  len(y.instances),
 				domain: d,
+				quota:  retry.NewWindow(y.quota()),
 				pool:   balance.NewPool(balance.Options{Domain: domainName(d), Random: y.random, Events: noEvents{}}),
 			}
 			i.pool.SetUnattended(y.unattended())
@@ -172,6 +185,15 @@
 	}
 }
 
+// quota returns the part of the quota of repeats that one instance has.
+func (y *player) quota() retry.Quota {
+	total := 0
+	for _, domain := range y.pattern.Domains {
+		total += domain.Instances
+	}
+	return retry.Quota{Ratio: y.pattern.RepeatRatio, Allowance: y.pattern.RepeatAllowance / float64(total), Span: repeatSpan}
+}
+
 // unattended returns the failure domains without instances.
 func (y *player) unattended() map[fleet.Domain]bool {
 	domains := make(map[fleet.Domain]bool)
@@ -242,7 +264,22 @@
 	if len(near) == 0 {
 		near = y.instances
 	}
-	y.send(near[y.random.IntN(len(near))], r)
+	from := near[y.random.IntN(len(near))]
+	from.quota.RecordFirstAttempt(y.clock())
+	y.send(from, r)
+}
+
+// comeBack sends a refused request again after a while, if its time permits.
+func (y *player) comeBack(from *instance, r *request) {
+	if 3*refusalWait > r.deadline-y.now {
+		y.end(r, Refused)
+		return
+	}
+	y.after(refusalWait, func() {
+		r.tried, r.sends = nil, 0
+		from.quota.RecordFirstAttempt(y.clock())
+		y.send(from, r)
+	})
 }
 
 // send makes the next attempt of a request.
@@ -251,13 +288,17 @@
 	chosen, picked := from.pool.Pick(y.clock(), balance.PickOptions{
 		Kind:             latencyKind,
 		Idempotent:       r.idempotent,
-		AllowTrial:       r.idempotent && r.sends == 1,
+		AllowTrial:       r.idempotent && r.runs == 0 && from.quota.RemainingRepeats(y.clock()) >= minRepeatsForTrial,
 		LatencyObjective: y.pattern.LatencyObjective,
 		TimeLeft:         r.deadline - y.now,
 		Exclude:          r.tried,
 	})
-	if picked != balance.Chosen {
-		y.end(r, Refused)
+	switch {
+	case picked != balance.Chosen && r.runs == 0:
+		y.comeBack(from, r)
+		return
+	case picked != balance.Chosen:
+		y.end(r, Failed)
 		return
 	}
 	r.tried = append(r.tried, chosen.Server.Incarnation)
@@ -324,22 +365,30 @@
 		load = balance.Load{Running: a.server.running, Waiting: len(a.server.waiting), Slots: y.pattern.Slots}
 	}
 	a.chosen.Finish(y.clock(), result, load)
+	r := a.request
 	notRun := result == balance.Shed || result == balance.Unreachable
+	if !notRun {
+		r.runs++
+	}
+	mayRepeat := notRun || r.idempotent && r.runs < maxRuns
 	switch {
 	case result == balance.Succeeded:
-		y.end(a.request, Served)
-	case (notRun || a.request.idempotent) && a.request.sends < maxSends && y.now < a.request.deadline:
-		y.send(a.from, a.request)
-	case notRun:
-		y.end(a.request, Refused)
+		y.end(r, Served)
+	case mayRepeat && r.sends < maxSends && y.now < r.deadline && (result == balance.Unreachable || a.from.quota.TryRepeat(y.clock())):
+		y.send(a.from, r)
+	case notRun && r.runs == 0:
+		y.comeBack(a.from, r)
 	default:
-		y.end(a.request, Failed)
+		y.end(r, Failed)
 	}
 }
 
 func (y *player) end(r *request, outcome Outcome) {
 	record := &y.result.Requests[r.index]
 	record.EndedAt, record.Outcome = y.now, outcome
+	if outcome == Served && y.now-record.ArrivedAt > y.pattern.LatencyObjective {
+		record.Outcome = Late
+	}
 }
 
 // noEvents ignores the events of a pool.
