Cover the servers of failure domains whose instances get no requests

Cause, found with the pattern player: an instance covers the servers of its own failure domain. Where no caller is in a failure domain, its instances choose nothing, and nobody kept the servers there in use: 44 of 75 healthy servers in 2 s, the floor is 0.7.

A failure domain is now attended only if its active instances get at least a request a second, which heartbeats say; all instances cover the others.

--- a/core/balance/coverage.go
+++ b/core/balance/coverage.go
@@ -86,8 +86,8 @@
 // failing, or nil. While requests fail, every server gets its turn: the floor counts all
 // servers without a fault, and these may be only a few of the servers that respond.
 //
-// The servers of a failure domain are covered by the instances there, and by all if there
-// are none. Each counts a request of any of them, and none waits for another.
+// The servers of a failure domain are covered by the instances there, and by all if those
+// get no requests. Each counts a request of any of them, and none waits for another.
 func (p *Pool) chooseForCoverage(now time.Time, options PickOptions) (_ *server, calm bool) {
 	calm = p.recentAttempts.failureShare(now, p.countOverdue(now)) < coverFailureShare
 	interval := coverInterval
@@ -119,8 +119,8 @@
 	return best, calm
 }
 
-// SetUnattended sets the failure domains that have no active instance. This instance covers
-// their servers as well.
+// SetUnattended sets the failure domains that have no active instance that gets requests.
+// This instance covers their servers as well.
 func (p *Pool) SetUnattended(domains map[fleet.Domain]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -119,7 +119,7 @@
 	// coverFailures is the moving average of the share of requests that failed among those
 	// that covered a server in calm times.
 	coverFailures float64
-	// unattended holds the failure domains without an active instance.
+	// unattended holds the failure domains without an active instance that gets requests.
 	unattended map[fleet.Domain]bool
 	waitLimits queueWaitLimits
 	notices    notices
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -60,7 +60,8 @@
 	// one is newer.
 	refusedConfig *follow.RefusedConfig
 	lag           tickLag
-	// unattended holds the failure domains of servers without an active instance.
+	// unattended holds the failure domains of servers without an active instance that gets
+	// requests.
 	unattended map[fleet.Domain]bool
 	// requestRate is the moving average of the requests per second. requestsStarted
 	// is the total number of requests at rateMeasuredAt.
--- a/core/gateway/role.go
+++ b/core/gateway/role.go
@@ -153,7 +153,7 @@
 const maxReportedServers = 90
 
 // updateUnattended tells the pools which failure domains with servers have no active
-// instance.
+// instance that gets requests.
 func (s *state) updateUnattended() {
 	view := s.workingSet.View()
 	if view.Role() != workset.Active {
@@ -162,7 +162,7 @@
 	unattended := make(map[fleet.Domain]bool)
 	for _, name := range s.registry.View().Services() {
 		for _, server := range s.registry.View().Servers(name) {
-			if !view.HasActive(server.Domain) {
+			if !view.IsAttended(server.Domain) {
 				unattended[server.Domain] = true
 			}
 		}
@@ -203,8 +203,8 @@
 	}
 }
 
-// reportsInDomain returns the reports about servers of a failure domain, and of those that
-// have no active instance: all instances cover the servers there.
+// reportsInDomain returns the reports about servers of a failure domain, and of the
+// unattended ones: all instances cover the servers there.
 func reportsInDomain(reports []balance.ServerReport, domain fleet.Domain, unattended map[fleet.Domain]bool) []balance.ServerReport {
 	var found []balance.ServerReport
 	for _, report := range reports {
--- a/core/workset/queries.go
+++ b/core/workset/queries.go
@@ -55,8 +55,18 @@
 // isInUse reports whether an instance is active or the standby.
 func (v *View) isInUse(id fleet.InstanceID) bool { return v.inUse[id] }
 
-// HasActive reports whether a failure domain has an active instance.
-func (v *View) HasActive(domain fleet.Domain) bool { return len(v.active[domain]) > 0 }
+// minAttendedRate is the number of requests per second below which the active instances of
+// a failure domain have too few to keep the servers there in use.
+const minAttendedRate = 1.0
+
+// IsAttended reports whether a failure domain has active instances that get requests.
+func (v *View) IsAttended(domain fleet.Domain) bool {
+	rate := 0.0
+	for _, heartbeat := range v.active[domain] {
+		rate += heartbeat.RequestRate
+	}
+	return rate >= minAttendedRate
+}
 
 // ActiveCount returns the number of active instances.
 func (v *View) ActiveCount() int {
--- a/standin/pattern/floor_test.go
+++ b/standin/pattern/floor_test.go
@@ -57,6 +57,7 @@
 			p.Domains = []Domain{{Servers: 37, Instances: 4}, {Servers: 37, Instances: 5}, {Servers: 37, Instances: 3}}
 		}},
 		{"a failure domain without instances", func(p *Pattern) { p.Domains[1].Instances = 0 }},
+		{"a failure domain without callers", func(p *Pattern) { p.Domains[2].NoCallers = true }},
 		{"old and lost reports", func(p *Pattern) { p.ReportDelay, p.ReportLoss = 800*time.Millisecond, 0.3 }},
 		{"stalls", func(p *Pattern) {
 			p.Faults = []Fault{{Kind: Stall, At: begin, For: long, Share: 0.4, Strength: 0.5}}
--- a/standin/pattern/pattern.go
+++ b/standin/pattern/pattern.go
@@ -42,6 +42,8 @@
 type Domain struct {
 	Servers   int
 	Instances int
+	// NoCallers is set if no caller is in the failure domain.
+	NoCallers bool
 }
 
 // Noise makes servers fail requests for some seconds, at any time and without an
--- a/standin/pattern/play.go
+++ b/standin/pattern/play.go
@@ -97,8 +97,11 @@
 	servers   []*server
 	byID      map[fleet.ServerID]int
 	instances []*instance
-	byDomain  [][]*instance
-	result    *Result
+	// byDomain holds the instances to which the callers of each failure domain connect, entries
+	// all of these.
+	byDomain [][]*instance
+	entries  []*instance
+	result   *Result
 }
 
 // Play plays the pattern with a seed.
@@ -179,7 +182,10 @@
 			i.pool.SetUnattended(y.unattended())
 			y.list(i)
 			y.instances = append(y.instances, i)
-			y.byDomain[d] = append(y.byDomain[d], i)
+			if !domain.NoCallers {
+				y.byDomain[d] = append(y.byDomain[d], i)
+				y.entries = append(y.entries, i)
+			}
 			y.after(time.Duration(y.random.Int64N(int64(reportInterval))), func() { y.report(i) })
 		}
 	}
@@ -194,11 +200,11 @@
 	return retry.Quota{Ratio: y.pattern.RepeatRatio, Allowance: y.pattern.RepeatAllowance / float64(total), Span: repeatSpan}
 }
 
-// unattended returns the failure domains without instances.
+// unattended returns the failure domains without instances that get requests.
 func (y *player) unattended() map[fleet.Domain]bool {
 	domains := make(map[fleet.Domain]bool)
 	for d, domain := range y.pattern.Domains {
-		if domain.Instances == 0 {
+		if domain.Instances == 0 || domain.NoCallers {
 			domains[domainName(d)] = true
 		}
 	}
@@ -262,7 +268,7 @@
 	y.result.Requests = append(y.result.Requests, Request{ArrivedAt: y.now, Outcome: Failed})
 	near := y.byDomain[y.random.IntN(len(y.byDomain))]
 	if len(near) == 0 {
-		near = y.instances
+		near = y.entries
 	}
 	from := near[y.random.IntN(len(near))]
 	from.quota.RecordFirstAttempt(y.clock())
