--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -213,7 +213,7 @@
 	s.configs = append(s.configs, document.Version)
 }
 
-func (s *recordingSink) RefuseConfiguration(*RefusedConfig) {}
+func (s *recordingSink) RefuseConfiguration(*ConfigError) {}
 
 // fakePeers returns a partial listing and an error.
 type fakePeers struct{ err error }
--- a/core/follow/follower.go
+++ b/core/follow/follower.go
@@ -129,7 +129,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	document, err := f.options.Store.Configuration(callCtx)
-	var refused *RefusedConfig
+	var refused *ConfigError
 	switch {
 	case errors.As(err, &refused):
 		f.options.Sink.RefuseConfiguration(refused)
--- a/core/follow/source.go
+++ b/core/follow/source.go
@@ -20,24 +20,24 @@
 	// Routes is a new configuration.
 	Routes *route.Document
 	// Refused is set if the entry of the configuration cannot be used.
-	Refused *RefusedConfig
+	Refused *ConfigError
 }
 
-// RefusedConfig is the error for a configuration that an instance cannot use. The
+// ConfigError is the error for a configuration that an instance cannot use. The
 // configuration that was active before stays active.
-type RefusedConfig struct {
+type ConfigError struct {
 	// Version is zero if it cannot be read.
 	Version fleet.Version
 	Reason  error
 }
 
 // Error implements error.
-func (r *RefusedConfig) Error() string {
+func (r *ConfigError) Error() string {
 	return fmt.Sprintf("configuration %d refused: %v", r.Version, r.Reason)
 }
 
 // Unwrap returns the reason.
-func (r *RefusedConfig) Unwrap() error { return r.Reason }
+func (r *ConfigError) Unwrap() error { return r.Reason }
 
 // Listing is the complete content of the store, or the changes since a revision. A
 // listing of a peer has no Routes, since the configuration is fetched apart.
@@ -45,7 +45,7 @@
 	Servers []registry.Server
 	Routes  *route.Document
 	// Refused is set in place of Routes if the configuration cannot be used.
-	Refused  *RefusedConfig
+	Refused  *ConfigError
 	Revision fleet.Revision
 	// Age is the time since the listing was confirmed; zero if it comes from the store
 	// itself.
@@ -69,7 +69,7 @@
 	// ErrCompacted if the store has dropped some of them.
 	Watch(ctx context.Context, after fleet.Revision, wait time.Duration) ([]Change, fleet.Revision, error)
 	// Configuration returns the latest configuration, or nil if there is none. It
-	// returns a *RefusedConfig if the configuration cannot be used.
+	// returns a *ConfigError if the configuration cannot be used.
 	Configuration(ctx context.Context) (*route.Document, error)
 }
 
@@ -85,7 +85,7 @@
 	ApplyConfiguration(document *route.Document)
 	// RefuseConfiguration receives the reason why a configuration that was read by
 	// itself cannot be used.
-	RefuseConfiguration(refused *RefusedConfig)
+	RefuseConfiguration(refused *ConfigError)
 	// HandleStoreLost is called at the first failure, HandleStoreRegained at the next
 	// success, with the time in between.
 	HandleStoreLost(err error)
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -73,7 +73,7 @@
 }
 
 // RefuseConfiguration implements follow.Sink.
-func (l *Loop) RefuseConfiguration(refused *follow.RefusedConfig) {
+func (l *Loop) RefuseConfiguration(refused *follow.ConfigError) {
 	l.submit(context.Background(), func(s *state) { s.refuseConfig(refused) })
 }
 
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -58,7 +58,7 @@
 	stopPlan *dispatch.StopPlan
 	// refusedConfig is the newest configuration that cannot be used, nil if the active
 	// one is newer.
-	refusedConfig *follow.RefusedConfig
+	refusedConfig *follow.ConfigError
 	lag           tickLag
 	// unattended holds the failure domains of servers without an active instance that gets
 	// requests.
@@ -244,7 +244,7 @@
 	adopted, err := s.routes.Adopt(*document)
 	switch {
 	case err != nil:
-		s.refuseConfig(&follow.RefusedConfig{Version: document.Version, Reason: err})
+		s.refuseConfig(&follow.ConfigError{Version: document.Version, Reason: err})
 	case adopted:
 		s.document = document
 		s.options.Events.ConfigAdopted(document.Version)
@@ -256,7 +256,7 @@
 
 // refuseConfig records a configuration that cannot be used, and reports it once. One that
 // is older than the active configuration does not matter.
-func (s *state) refuseConfig(refused *follow.RefusedConfig) {
+func (s *state) refuseConfig(refused *follow.ConfigError) {
 	if refused == nil || refused.Version != 0 && refused.Version <= s.routes.Version() {
 		return
 	}
--- a/core/gateway/refused_config_test.go
+++ b/core/gateway/refused_config_test.go
@@ -14,8 +14,8 @@
 // TestRefusedConfig guards against a configuration that is refused without a trace, or
 // whose refusal is still shown when a newer configuration is active.
 func TestRefusedConfig(t *testing.T) {
-	invalid := func(version fleet.Version) *follow.RefusedConfig {
-		return &follow.RefusedConfig{Version: version, Reason: errors.New("no such word")}
+	invalid := func(version fleet.Version) *follow.ConfigError {
+		return &follow.ConfigError{Version: version, Reason: errors.New("no such word")}
 	}
 	withoutServices := testDocument(5)
 	withoutServices.Services = nil
@@ -70,7 +70,7 @@
 	l, _, _ := newTestLoop()
 	runCommands(l)
 	require.Contains(t, l.View().UnreadyReason(), "no configuration was received")
-	l.ApplyListing(follow.Listing{Revision: 7, Refused: &follow.RefusedConfig{Version: 5, Reason: errors.New("no such word")}}, false)
+	l.ApplyListing(follow.Listing{Revision: 7, Refused: &follow.ConfigError{Version: 5, Reason: errors.New("no such word")}}, false)
 	runCommands(l)
 	require.Contains(t, l.View().UnreadyReason(), "configuration 5 refused: no such word")
 	l.ApplyConfiguration(testDocument(6))
--- a/core/gateway/view.go
+++ b/core/gateway/view.go
@@ -26,7 +26,7 @@
 	confirmedAt  time.Time
 	configBehind bool
 	// refused is the newest configuration that cannot be used; nil if there is none.
-	refused  *follow.RefusedConfig
+	refused  *follow.ConfigError
 	stopPlan *dispatch.StopPlan
 }
 
@@ -90,7 +90,7 @@
 
 // RefusedConfig returns the newest configuration that cannot be used, or nil if the active
 // one is newer.
-func (v *View) RefusedConfig() *follow.RefusedConfig { return v.refused }
+func (v *View) RefusedConfig() *follow.ConfigError { return v.refused }
 
 // ConfigBehind reports whether a peer has announced a newer configuration.
 func (v *View) ConfigBehind() bool { return v.configBehind }
--- a/io/caller/pipeline/server_test.go
+++ b/io/caller/pipeline/server_test.go
@@ -66,6 +66,12 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := pipeline.New(pipeline.Options{Clock: clockwork.NewRealClock(), Handler: h, HeaderParser: platform.CallerHeaderParser{}, Policy: p, Log: log})
+	return s, h, p, listen(t, s)
+}
+
+// listen serves callers until the test ends and returns the address.
+func listen(t testing.TB, s *pipeline.Server) string {
+	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	done := make(chan struct{})
@@ -79,7 +85,7 @@
 		s.Close(ctx)
 		<-done
 	})
-	return s, h, p, listener.Addr().String()
+	return listener.Addr().String()
 }
 
 func dial(t *testing.T, address string) net.Conn {
--- a/io/caller/pipeline/upload_test.go
+++ b/io/caller/pipeline/upload_test.go
@@ -49,20 +49,7 @@
 		Clock: clockwork.NewRealClock(), Handler: h, HeaderParser: platform.CallerHeaderParser{},
 		Policy: &uploadPolicy{}, Log: log, BodyMemory: bodyMemory,
 	})
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = s.Serve(listener)
-	}()
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		s.Close(ctx)
-		<-done
-	})
-	return s, h, listener.Addr().String()
+	return s, h, listen(t, s)
 }
 
 // uploadHead returns the header of an upload. A negative length means chunks.
--- a/io/gateway/ports.go
+++ b/io/gateway/ports.go
@@ -100,7 +100,7 @@
 }
 
 // RefuseConfiguration implements follow.Sink.
-func (s followerSink) RefuseConfiguration(refused *follow.RefusedConfig) {
+func (s followerSink) RefuseConfiguration(refused *follow.ConfigError) {
 	s.process.control.RefuseConfiguration(refused)
 }
 
