--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// kind is a kind of request of clients.
+type kind struct {
+	name, method, prefix string
+	perSecond            float64
+	deadline             time.Duration
+	bodyBytes            int
+}
+
+// answer is what a client saw of one request.
+type answer struct {
+	id, kind, address string
+	sentAt, endedAt   time.Time
+	status            int
+	body              string
+	signature         string
+	err               error
+}
+
+// client keeps connections open and asks a directory for addresses.
+type client struct {
+	record      *record
+	zone        string
+	directories []string
+	http        *http.Client
+
+	mu        sync.Mutex
+	addresses []string
+	expiresAt time.Time
+}
+
+func newClient(r *record, zone string, directories []string) *client {
+	return &client{record: r, zone: zone, directories: directories, http: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 12 * time.Second, DisableCompression: true,
+	}}}
+}
+
+// useDirectories makes the client ask other directories, as its nearest ones.
+func (c *client) useDirectories(directories []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.directories = directories
+}
+
+// address returns the address for the next request, empty if there is none.
+func (c *client) address(ctx context.Context) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !time.Now().Before(c.expiresAt) {
+		for _, directory := range c.directories {
+			if found, ttl := c.resolve(ctx, directory); len(found) > 0 {
+				c.addresses, c.expiresAt = found, time.Now().Add(ttl)
+				break
+			}
+		}
+	}
+	if len(c.addresses) == 0 {
+		return ""
+	}
+	return c.addresses[rand.IntN(len(c.addresses))]
+}
+
+func (c *client) resolve(ctx context.Context, directory string) ([]string, time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	query := url.Values{"name": {hostName}, "region": {"jm-south"}, "zone": {c.zone}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+"/v1/resolve?"+query.Encode(), nil)
+	if err != nil {
+		return nil, 0
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, 0
+	}
+	defer response.Body.Close()
+	var decoded struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
+	}
+	if json.NewDecoder(response.Body).Decode(&decoded) != nil {
+		return nil, 0
+	}
+	return decoded.Addresses, time.Duration(min(decoded.TTL, 5) * float64(time.Second))
+}
+
+const hostName = "ficu95.example"
+
+var lastID atomic.Int64
+
+func nextID() string { return fmt.Sprintf("%016x", lastID.Add(1)) }
+
+// send sends one request and waits for its answer.
+func (c *client) send(k kind) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), k.deadline)
+	defer cancel()
+	a := answer{id: nextID(), kind: k.name, sentAt: time.Now()}
+	a.address = c.address(ctx)
+	if a.address == "" {
+		a.err, a.endedAt = fmt.Errorf("no address"), time.Now()
+		return a
+	}
+	c.record.add("sent %s %s to %s", k.name, a.id, a.address)
+	request, err := http.NewRequestWithContext(ctx, k.method, "http://"+a.address+k.prefix+"x", bytes.NewReader(make([]byte, k.bodyBytes)))
+	if err != nil {
+		a.err, a.endedAt = err, time.Now()
+		return a
+	}
+	request.Host = hostName
+	request.Header.Set("Galenaridge-Request-Id", a.id)
+	request.Header.Set("Galenaridge-Deadline-Ms", fmt.Sprint(k.deadline.Milliseconds()))
+	response, err := c.http.Do(request)
+	if err == nil {
+		a.status, a.signature = response.StatusCode, response.Header.Get("Galenaridge-Server-Signature")
+		var text []byte
+		text, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		a.body = string(text)
+	}
+	a.err, a.endedAt = err, time.Now()
+	return a
+}
+
+// traffic sends requests of several kinds at their rates until it is stopped.
+type traffic struct {
+	clients []*client
+	answers func(answer)
+	stop    chan struct{}
+	senders sync.WaitGroup
+	pending sync.WaitGroup
+}
+
+func startTraffic(clients []*client, kinds []kind, answers func(answer)) *traffic {
+	t := &traffic{clients: clients, answers: answers, stop: make(chan struct{})}
+	for _, k := range kinds {
+		t.senders.Add(1)
+		go t.sendKind(k)
+	}
+	return t
+}
+
+func (t *traffic) sendKind(k kind) {
+	defer t.senders.Done()
+	for {
+		select {
+		case <-t.stop:
+			return
+		case <-time.After(time.Duration(rand.ExpFloat64() / k.perSecond * float64(time.Second))):
+		}
+		t.pending.Add(1)
+		go func() {
+			defer t.pending.Done()
+			t.answers(t.clients[rand.IntN(len(t.clients))].send(k))
+		}()
+	}
+}
+
+func (t *traffic) end() {
+	close(t.stop)
+	t.senders.Wait()
+	t.pending.Wait()
+}
+
+// configuration returns the configuration of the site bmrs-gateway.
+func configuration(version int) map[string]any {
+	route := func(name, prefix, kind, service string, timeoutMS, targetMS, priority int) map[string]any {
+		return map[string]any{"name": name, "prefix": prefix, "type": kind, "timeout_ms": timeoutMS, "target_latency_ms": targetMS, "priority": priority, "service": service, "max_attempts": 2}
+	}
+	service := func(name string) map[string]any {
+		return map[string]any{"name": name, "health_path": "/health", "max_connections": 390, "protocol": "h1", "tls": false}
+	}
+	return map[string]any{
+		"version":  version,
+		"services": []any{service("plan-library"), service("dispatch-desk")},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"hosts": []any{map[string]any{"host": hostName, "paths": []any{
+			route("r-lookup", "/lookup/", "idempotent", "plan-library", 1000, 500, 2),
+			route("r-signoff", "/signoff/", "non_idempotent", "plan-library", 1200, 500, 1),
+			route("r-booking", "/booking/", "non_idempotent", "dispatch-desk", 600, 300, 0),
+		}}},
+	}
+}
+
+// siteKinds are the requests of the site bmrs-gateway.
+var siteKinds = []kind{
+	{name: "plan-lookup", method: http.MethodGet, prefix: "/lookup/", perSecond: 40, deadline: time.Second},
+	{name: "plan-signoff", method: http.MethodPost, prefix: "/signoff/", perSecond: 108, deadline: 1200 * time.Millisecond, bodyBytes: 1200},
+	{name: "crew-booking", method: http.MethodPut, prefix: "/booking/", perSecond: 42.3, deadline: 600 * time.Millisecond, bodyBytes: 4000},
+}
