review: case 1, an instance ends itself when its descriptors run out

The case shows that an instance whose callers have used up its descriptors ends by itself at the next readiness check, and cuts requests that servers are working on (LOST). The stand-ins take the sheet of their site from one place.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -14,14 +14,6 @@
 	"time"
 )
 
-// kind is a kind of request of clients.
-type kind struct {
-	name, method, prefix string
-	perSecond            float64
-	deadline             time.Duration
-	bodyBytes            int
-}
-
 // answer is what a client saw of one request.
 type answer struct {
 	id, kind, address string
@@ -35,6 +27,7 @@
 // client keeps connections open and asks a directory for addresses.
 type client struct {
 	record      *record
+	region      string
 	zone        string
 	directories []string
 	http        *http.Client
@@ -44,8 +37,8 @@
 	expiresAt time.Time
 }
 
-func newClient(r *record, zone string, directories []string) *client {
-	return &client{record: r, zone: zone, directories: directories, http: &http.Client{Transport: &http.Transport{
+func newClient(r *record, d deployment, directories []string) *client {
+	return &client{record: r, region: d.region, zone: d.zones[0], directories: directories, http: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 12 * time.Second, DisableCompression: true,
 	}}}
 }
@@ -78,7 +71,7 @@
 func (c *client) resolve(ctx context.Context, directory string) ([]string, time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	query := url.Values{"name": {hostName}, "region": {"jm-south"}, "zone": {c.zone}}
+	query := url.Values{"name": {hostName}, "region": {c.region}, "zone": {c.zone}}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+"/v1/resolve?"+query.Encode(), nil)
 	if err != nil {
 		return nil, 0
@@ -174,30 +167,3 @@
 	t.senders.Wait()
 	t.pending.Wait()
 }
-
-// configuration returns the configuration of the site bmrs-gateway.
-func configuration(version int) map[string]any {
-	route := func(name, prefix, kind, service string, timeoutMS, targetMS, priority int) map[string]any {
-		return map[string]any{"name": name, "prefix": prefix, "type": kind, "timeout_ms": timeoutMS, "target_latency_ms": targetMS, "priority": priority, "service": service, "max_attempts": 2}
-	}
-	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "health_path": "/health", "max_connections": 390, "protocol": "h1", "tls": false}
-	}
-	return map[string]any{
-		"version":  version,
-		"services": []any{service("plan-library"), service("dispatch-desk")},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"hosts": []any{map[string]any{"host": hostName, "paths": []any{
-			route("r-lookup", "/lookup/", "idempotent", "plan-library", 1000, 500, 2),
-			route("r-signoff", "/signoff/", "non_idempotent", "plan-library", 1200, 500, 1),
-			route("r-booking", "/booking/", "non_idempotent", "dispatch-desk", 600, 300, 0),
-		}}},
-	}
-}
-
-// siteKinds are the requests of the site bmrs-gateway.
-var siteKinds = []kind{
-	{name: "plan-lookup", method: http.MethodGet, prefix: "/lookup/", perSecond: 40, deadline: time.Second},
-	{name: "plan-signoff", method: http.MethodPost, prefix: "/signoff/", perSecond: 108, deadline: 1200 * time.Millisecond, bodyBytes: 1200},
-	{name: "crew-booking", method: http.MethodPut, prefix: "/booking/", perSecond: 42.3, deadline: 600 * time.Millisecond, bodyBytes: 4000},
-}
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -12,48 +12,6 @@
 	"time"
 )
 
-// site is a running deployment of one zone.
-type site struct {
-	*record
-	store    *metadataStore
-	backends []*backend
-	gateways []*gateway
-	binary   string
-}
-
-func (s *site) close() {
-	for _, g := range s.gateways {
-		g.kill()
-	}
-	for _, b := range s.backends {
-		_ = b.http.Close()
-	}
-	if s.store != nil {
-		s.store.close()
-	}
-}
-
-// startBackends starts the servers of the site bmrs-gateway and writes their entries and
-// the configuration to the store.
-func (s *site) startBackends(arrived func(b *backend, id string)) error {
-	for i := range 36 {
-		id, service, work := fmt.Sprintf("i-%04x", i), "plan-library", 150*time.Millisecond
-		if i >= 30 {
-			service, work = "dispatch-desk", 84*time.Millisecond
-		}
-		b, err := startBackend(s.record, id, service, "kgn-a", work)
-		if err != nil {
-			return err
-		}
-		b.arrived = arrived
-		b.run()
-		s.backends = append(s.backends, b)
-		s.store.put(b.key(), b.entry("ready"))
-	}
-	s.store.put("op/config", configuration(7))
-	return nil
-}
-
 // watchesStore asks an instance whether it is the reader of the store.
 func watchesStore(g *gateway) bool {
 	response, err := http.Get("http://" + g.operator() + "/state")
@@ -91,7 +49,7 @@
 
 // runDrain restarts an instance while a server leaves.
 func runDrain(r *record, binary, dir string, trouble bool) (broken bool, err error) {
-	s := &site{record: r, binary: binary}
+	s := &site{record: r, deployment: bmrsGateway, binary: binary}
 	defer s.close()
 	if s.store, err = startStore(); err != nil {
 		return false, err
@@ -114,12 +72,12 @@
 		return false, err
 	}
 	defer toStore.close()
-	f := fleetSettings{dir: dir, cpuShare: 0.32}
+	f := fleetSettings{deployment: s.deployment, dir: dir}
 	for i := range 3 {
 		f.seeds = append(f.seeds, fmt.Sprintf("127.0.0.%d:%d", i+1, base+3))
 	}
 	for i := range 3 {
-		g := &gateway{name: fmt.Sprintf("edge-kgn-a-%d", i+1), ip: fmt.Sprintf("127.0.0.%d", i+1), zone: "kgn-a", basePort: base}
+		g := &gateway{name: fmt.Sprintf("edge-kgn-a-%d", i+1), ip: fmt.Sprintf("127.0.0.%d", i+1), basePort: base}
 		if err := g.writeSettings(f, toStore.address()); err != nil {
 			return false, err
 		}
@@ -137,9 +95,9 @@
 	counts := make(map[string]int)
 	clients := make([]*client, 200)
 	for i := range clients {
-		clients[i] = newClient(r, "kgn-a", []string{s.gateways[0].directory(), s.gateways[1].directory(), s.gateways[2].directory()})
+		clients[i] = newClient(r, s.deployment, []string{s.gateways[0].directory(), s.gateways[1].directory(), s.gateways[2].directory()})
 	}
-	t := startTraffic(clients, siteKinds, func(a answer) {
+	t := startTraffic(clients, s.deployment.kinds, func(a answer) {
 		mu.Lock()
 		defer mu.Unlock()
 		sentTo[a.id] = a.address
@@ -219,7 +177,7 @@
 
 // secondInUse returns the instance that serves callers and doesn't read the store.
 func (s *site) secondInUse() (*gateway, error) {
-	c := newClient(s.record, "kgn-a", nil)
+	c := newClient(s.record, s.deployment, nil)
 	addresses, _ := c.resolve(context.Background(), s.gateways[0].directory())
 	for _, g := range s.gateways {
 		if slices.Contains(addresses, g.front()) && !watchesStore(g) {
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -19,10 +19,10 @@
 // gateway is one instance, which runs as a process of its own with the command of the
 // deploy file.
 type gateway struct {
-	name, ip, zone string
-	basePort       int
-	settingsPath   string
-	logPath        string
+	name, ip     string
+	basePort     int
+	settingsPath string
+	logPath      string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -41,9 +41,9 @@
 
 // fleetSettings are the values that all instances share.
 type fleetSettings struct {
-	dir      string
-	seeds    []string
-	cpuShare float64
+	deployment deployment
+	dir        string
+	seeds      []string
 }
 
 // freeBasePort returns a port that is free together with the next seven, on the first
@@ -71,32 +71,33 @@
 	return true
 }
 
-// writeSettings writes the settings file of an instance, with the bounds of the site
-// bmrs-gateway.
+// writeSettings writes the settings file of an instance, which is in the first zone.
 func (g *gateway) writeSettings(f fleetSettings, storeAddress string) error {
 	g.settingsPath = filepath.Join(f.dir, g.name+".yaml")
 	g.logPath = filepath.Join(f.dir, g.name+".log")
+	d := f.deployment
+	zones := d.zones[0] + `: "` + d.region + `", ` + d.zones[1] + `: "` + d.region + `", ` + d.zones[2] + `: "` + d.region + `"`
 	text := fmt.Sprintf(`node: %q
 role: "gateway"
 machine_class: "edge"
 serves: ["edge", "directory", "control"]
 ip: %q
 zone: %q
-region: "jm-south"
-zones: {kgn-a: "jm-south", kgn-b: "jm-south", spt-c: "jm-south"}
+region: %q
+zones: {%s}
 listen: {front: %q, ready: %q, control: %q, directory: %q}
 internal_ports: [%d, %d]
 seeds: ["%s"]
 bootstrap: false
 fault_counted: false
-limits: {cpu_share: %g, cores: 1, memory_mb: 284, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0}
+limits: {cpu_share: 0.32, cores: 1, memory_mb: 284, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0}
 data_dir: null
 discovery: "platform"
 entry: "directory"
 heartbeat_ms: 1500
-bounds: ["seed_lag_s=3", "reuse_after_s=2", "stability_window_ms=3000", "ack_ms=4000", "catch_up_s=4", "drain_ms=2000", "grace_s=6", "loss_slack_ms=200", "config_apply_ms=2000", "downgrade_slack_ms=250", "max_skew_ms=5000", "retry_budget_ratio=0.2", "retry_window_s=10", "retry_allowance=64", "recovery_s=15", "ttl_max_s=5", "probes_per_s=3", "floor_share=0.7"]
+bounds: ["seed_lag_s=3", "reuse_after_s=2", "stability_window_ms=3000", "ack_ms=4000", "catch_up_s=4", "drain_ms=2000", "grace_s=6", "loss_slack_ms=200", "config_apply_ms=2000", "downgrade_slack_ms=250", "max_skew_ms=5000", "retry_budget_ratio=0.2", "retry_window_s=10", "retry_allowance=%d", "recovery_s=15", "ttl_max_s=5", "probes_per_s=3", "floor_share=0.7"]
 platform: {address: %q, form: "read", writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1048576, ttl_min_ms: 1000}
-`, g.name, g.ip, g.zone, g.front(), g.ready(), g.control(), g.directory(), g.basePort+4, g.basePort+7, strings.Join(f.seeds, `", "`), f.cpuShare, storeAddress)
+`, g.name, g.ip, d.zones[0], d.region, zones, g.front(), g.ready(), g.control(), g.directory(), g.basePort+4, g.basePort+7, strings.Join(f.seeds, `", "`), d.retryAllowance, storeAddress)
 	return os.WriteFile(g.settingsPath, []byte(text), 0o600)
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 )
 
 var cases = map[string]func(r *record, binary, dir string, trouble bool) (broken bool, err error){
+	"crowd": runCrowd,
 	"drain": runDrain,
 	"spoil": runSpoil,
 }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// backend is a stand-in for a server. It works on up to slots requests at a time, queues
-// eight more, and rejects others with 503.
+// backend is a stand-in for a server. It works on as many requests as it has slots at a
+// time, queues some more, and rejects others with 503.
 type backend struct {
 	id, service, zone string
 	work              time.Duration
@@ -20,6 +20,7 @@
 	listener          net.Listener
 	http              *http.Server
 	slots             chan struct{}
+	queue             int
 	waiting           atomic.Int64
 	leaving           atomic.Bool
 	record            *record
@@ -29,17 +30,12 @@
 	handle func(b *backend, w http.ResponseWriter, r *http.Request) bool
 }
 
-const (
-	backendSlots = 2
-	backendQueue = 8
-)
-
-func startBackend(r *record, id, service, zone string, work time.Duration) (*backend, error) {
+func startBackend(r *record, d deployment, id string, s service) (*backend, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{record: r, id: id, service: service, zone: zone, work: work, born: time.Now().UnixMilli(), listener: listener, slots: make(chan struct{}, backendSlots)}
+	b := &backend{record: r, id: id, service: s.name, zone: d.zones[0], work: s.work, born: time.Now().UnixMilli(), listener: listener, queue: d.queue, slots: make(chan struct{}, d.slots)}
 	b.http = &http.Server{Handler: http.HandlerFunc(b.serve), IdleTimeout: 10 * time.Second}
 	return b, nil
 }
@@ -49,7 +45,7 @@
 // entry returns the entry of the server in the store.
 func (b *backend) entry(state string) map[string]any {
 	return map[string]any{
-		"service": b.service, "address": b.listener.Addr().String(), "zone": b.zone, "version": "v1", "capacity": backendSlots,
+		"service": b.service, "address": b.listener.Addr().String(), "zone": b.zone, "version": "v1", "capacity": cap(b.slots),
 		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": b.born,
 	}
 }
@@ -64,7 +60,7 @@
 		header.Set("Server-Leaving", "1")
 	}
 	running := len(b.slots)
-	header.Set("Galenaridge-Server-Load", fmt.Sprintf("%d,%d,%d", running, b.waiting.Load(), backendSlots))
+	header.Set("Galenaridge-Server-Load", fmt.Sprintf("%d,%d,%d", running, b.waiting.Load(), cap(b.slots)))
 	refuse := func(status int) {
 		header.Set("Galenaridge-Not-Executed", "1")
 		w.WriteHeader(status)
@@ -90,7 +86,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	if b.waiting.Add(1) > backendQueue+backendSlots {
+	if b.waiting.Add(1) > int64(b.queue+cap(b.slots)) {
 		b.waiting.Add(-1)
 		refuse(http.StatusServiceUnavailable)
 		return
--- a/review/standin/spoil.go
+++ b/review/standin/spoil.go
@@ -79,7 +79,7 @@
 
 // runSpoil lets some servers spoil a few of their answers.
 func runSpoil(r *record, binary, dir string, trouble bool) (broken bool, err error) {
-	s := &site{record: r, binary: binary}
+	s := &site{record: r, deployment: bmrsGateway, binary: binary}
 	defer s.close()
 	if s.store, err = startStore(); err != nil {
 		return false, err
@@ -109,12 +109,12 @@
 	if err != nil {
 		return false, err
 	}
-	f := fleetSettings{dir: dir, cpuShare: 0.32}
+	f := fleetSettings{deployment: s.deployment, dir: dir}
 	for i := range 3 {
 		f.seeds = append(f.seeds, fmt.Sprintf("127.0.0.%d:%d", i+1, base+3))
 	}
 	for i := range 3 {
-		g := &gateway{name: fmt.Sprintf("edge-kgn-a-%d", i+1), ip: fmt.Sprintf("127.0.0.%d", i+1), zone: "kgn-a", basePort: base}
+		g := &gateway{name: fmt.Sprintf("edge-kgn-a-%d", i+1), ip: fmt.Sprintf("127.0.0.%d", i+1), basePort: base}
 		if err := g.writeSettings(f, s.store.address()); err != nil {
 			return false, err
 		}
@@ -130,7 +130,7 @@
 		}
 		directories = append(directories, g.directory())
 	}
-	resolver := newClient(r, "kgn-a", directories)
+	resolver := newClient(r, s.deployment, directories)
 	counts := make(map[string]int)
 	bad := 0
 	send := func(k kind) {
@@ -147,7 +147,7 @@
 	}
 	stop := make(chan struct{})
 	var senders, pending sync.WaitGroup
-	for _, k := range siteKinds {
+	for _, k := range s.deployment.kinds {
 		senders.Go(func() {
 			for {
 				select {
