--- a/review/standin/crowd.go
+++ b/review/standin/crowd.go
@@ -27,8 +27,10 @@
 	// calmBefore and watchAfter are the times before and after the burst.
 	calmBefore = 14 * time.Second
 	watchAfter = 10 * time.Second
-	// machineDescriptors is max_fds of the machine.
+	// machineDescriptors is max_fds of the machine, and ownDescriptors what the clients and
+	// servers of the case need.
 	machineDescriptors = 4100
+	ownDescriptors     = 5500
 )
 
 // keptConn is a connection that a client keeps. It carries one request at a time.
@@ -189,8 +191,8 @@
 // runCrowd lets many users come at once.
 func runCrowd(r *record, binary, dir string, trouble bool) (broken bool, err error) {
 	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 3*machineDescriptors {
-		return false, fmt.Errorf("the clients need %d descriptors, and there are %d", 3*machineDescriptors, limit.Cur)
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < ownDescriptors {
+		return false, fmt.Errorf("the clients need %d descriptors, and there are %d", ownDescriptors, limit.Cur)
 	}
 	s := &site{record: r, deployment: kuvukaGateway, binary: binary}
 	defer s.close()
@@ -206,21 +208,10 @@
 	}); err != nil {
 		return false, err
 	}
-	base, err := freeBasePort()
-	if err != nil {
-		return false, err
-	}
-	g := &gateway{name: "edge-khomas-a-1", ip: "127.0.0.1", basePort: base}
-	if err := g.writeSettings(fleetSettings{deployment: s.deployment, dir: dir, seeds: []string{g.control()}}, s.store.address()); err != nil {
+	if err := s.startGateways(1, dir, s.store.address(), machineDescriptors); err != nil {
 		return false, err
 	}
-	s.gateways = append(s.gateways, g)
-	if err := g.start(binary, machineDescriptors); err != nil {
-		return false, err
-	}
-	if !g.awaitReady(8 * time.Second) {
-		return false, fmt.Errorf("%s is not ready", g.name)
-	}
+	g := s.gateways[0]
 	c := &crowd{record: r, kinds: s.deployment.kinds, address: g.front(), stop: make(chan struct{}), conns: make([][]*keptConn, len(s.deployment.kinds)), cut: make(map[string]int), counts: make(map[string]int)}
 	c.arrive(crowdClients)
 	end := time.Now().Add(calmBefore + burstFor + watchAfter)
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -63,39 +62,19 @@
 	}); err != nil {
 		return false, err
 	}
-	base, err := freeBasePort()
-	if err != nil {
-		return false, err
-	}
 	toStore, err := startLink(s.store.address())
 	if err != nil {
 		return false, err
 	}
 	defer toStore.close()
-	f := fleetSettings{deployment: s.deployment, dir: dir}
-	for i := range 3 {
-		f.seeds = append(f.seeds, fmt.Sprintf("127.0.0.%d:%d", i+1, base+3))
-	}
-	for i := range 3 {
-		g := &gateway{name: fmt.Sprintf("edge-kgn-a-%d", i+1), ip: fmt.Sprintf("127.0.0.%d", i+1), basePort: base}
-		if err := g.writeSettings(f, toStore.address()); err != nil {
-			return false, err
-		}
-		s.gateways = append(s.gateways, g)
-		if err := g.start(binary, 0); err != nil {
-			return false, err
-		}
-	}
-	for _, g := range s.gateways {
-		if !g.awaitReady(8 * time.Second) {
-			return false, fmt.Errorf("%s is not ready", g.name)
-		}
+	if err := s.startGateways(3, dir, toStore.address(), 0); err != nil {
+		return false, err
 	}
 	sentTo := make(map[string]string)
 	counts := make(map[string]int)
 	clients := make([]*client, 200)
 	for i := range clients {
-		clients[i] = newClient(r, s.deployment, []string{s.gateways[0].directory(), s.gateways[1].directory(), s.gateways[2].directory()})
+		clients[i] = newClient(r, s.deployment, s.directories(nil))
 	}
 	t := startTraffic(clients, s.deployment.kinds, func(a answer) {
 		mu.Lock()
@@ -110,18 +89,12 @@
 	if err != nil {
 		return false, err
 	}
-	var others []string
-	for _, g := range s.gateways {
-		if g != restarted {
-			others = append(others, g.directory())
-		}
-	}
 	for _, c := range clients {
-		c.useDirectories(others)
+		c.useDirectories(s.directories(restarted))
 	}
 	// The machine is a seed itself, and the other seeds of its settings are gone.
-	f.seeds = []string{restarted.control(), fmt.Sprintf("127.0.0.8:%d", base+3), fmt.Sprintf("127.0.0.9:%d", base+3)}
-	if err := restarted.writeSettings(f, toStore.address()); err != nil {
+	seeds := []string{restarted.control(), fmt.Sprintf("127.0.0.8:%d", restarted.basePort+3), fmt.Sprintf("127.0.0.9:%d", restarted.basePort+3)}
+	if err := restarted.writeSettings(s.deployment, dir, seeds, toStore.address()); err != nil {
 		return false, err
 	}
 	for try, leaves := 0, 0; leaves < maxDrains && !broken && time.Since(r.start) < lastStart; try++ {
@@ -186,5 +159,3 @@
 	}
 	return nil, fmt.Errorf("no second instance is in use: callers get %v", addresses)
 }
-
-func binaryPath(root string) string { return filepath.Join(root, "target", "galenaridge") }
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -39,13 +39,6 @@
 func (g *gateway) control() string   { return g.at(3) }
 func (g *gateway) operator() string  { return g.at(5) }
 
-// fleetSettings are the values that all instances share.
-type fleetSettings struct {
-	deployment deployment
-	dir        string
-	seeds      []string
-}
-
 // freeBasePort returns a port that is free together with the next seven, on the first
 // machines. It is below the ports that the system gives to connections.
 func freeBasePort() (int, error) {
@@ -72,10 +65,9 @@
 }
 
 // writeSettings writes the settings file of an instance, which is in the first zone.
-func (g *gateway) writeSettings(f fleetSettings, storeAddress string) error {
-	g.settingsPath = filepath.Join(f.dir, g.name+".yaml")
-	g.logPath = filepath.Join(f.dir, g.name+".log")
-	d := f.deployment
+func (g *gateway) writeSettings(d deployment, dir string, seeds []string, storeAddress string) error {
+	g.settingsPath = filepath.Join(dir, g.name+".yaml")
+	g.logPath = filepath.Join(dir, g.name+".log")
 	zones := d.zones[0] + `: "` + d.region + `", ` + d.zones[1] + `: "` + d.region + `", ` + d.zones[2] + `: "` + d.region + `"`
 	text := fmt.Sprintf(`node: %q
 role: "gateway"
@@ -97,7 +89,7 @@
 heartbeat_ms: 1500
 bounds: ["seed_lag_s=3", "reuse_after_s=2", "stability_window_ms=3000", "ack_ms=4000", "catch_up_s=4", "drain_ms=2000", "grace_s=6", "loss_slack_ms=200", "config_apply_ms=2000", "downgrade_slack_ms=250", "max_skew_ms=5000", "retry_budget_ratio=0.2", "retry_window_s=10", "retry_allowance=%d", "recovery_s=15", "ttl_max_s=5", "probes_per_s=3", "floor_share=0.7"]
 platform: {address: %q, form: "read", writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1048576, ttl_min_ms: 1000}
-`, g.name, g.ip, d.zones[0], d.region, zones, g.front(), g.ready(), g.control(), g.directory(), g.basePort+4, g.basePort+7, strings.Join(f.seeds, `", "`), d.retryAllowance, storeAddress)
+`, g.name, g.ip, d.zones[0], d.region, zones, g.front(), g.ready(), g.control(), g.directory(), g.basePort+4, g.basePort+7, strings.Join(seeds, `", "`), d.retryAllowance, storeAddress)
 	return os.WriteFile(g.settingsPath, []byte(text), 0o600)
 }
 
--- a/review/standin/link.go
+++ b/review/standin/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -102,9 +101,6 @@
 			_, _ = near.Write(buffer[:n])
 		}
 		if err != nil {
-			if err != io.EOF {
-				_ = near.Close()
-			}
 			_ = near.Close()
 			return
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -56,7 +56,7 @@
 		os.Exit(exitNotRun)
 	}()
 	trouble := os.Getenv("TROUBLE") != "0"
-	broken, err := cases[os.Args[1]](r, binaryPath(root), dir, trouble)
+	broken, err := cases[os.Args[1]](r, filepath.Join(root, "target", "galenaridge"), dir, trouble)
 	switch {
 	case err != nil:
 		r.say("the case could not run: %v", err)
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -1,6 +1,9 @@
 package main
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // site is a running deployment of one zone.
 type site struct {
@@ -42,3 +45,43 @@
 	s.store.put("op/config", s.deployment.configuration())
 	return nil
 }
+
+// startGateways starts instances on machines of the first zone, which are the seeds, and
+// waits until they are ready. With maxDescriptors their processes get no more descriptors.
+func (s *site) startGateways(count int, dir, storeAddress string, maxDescriptors int) error {
+	base, err := freeBasePort()
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for i := range count {
+		g := &gateway{name: fmt.Sprintf("edge-%s-%d", s.deployment.zones[0], i+1), ip: fmt.Sprintf("127.0.0.%d", i+1), basePort: base}
+		s.gateways = append(s.gateways, g)
+		seeds = append(seeds, g.control())
+	}
+	for _, g := range s.gateways {
+		if err := g.writeSettings(s.deployment, dir, seeds, storeAddress); err != nil {
+			return err
+		}
+		if err := g.start(s.binary, maxDescriptors); err != nil {
+			return err
+		}
+	}
+	for _, g := range s.gateways {
+		if !g.awaitReady(8 * time.Second) {
+			return fmt.Errorf("%s is not ready", g.name)
+		}
+	}
+	return nil
+}
+
+// directories returns the addresses that clients ask for addresses, without one instance.
+func (s *site) directories(without *gateway) []string {
+	var addresses []string
+	for _, g := range s.gateways {
+		if g != without {
+			addresses = append(addresses, g.directory())
+		}
+	}
+	return addresses
+}
--- a/review/standin/spoil.go
+++ b/review/standin/spoil.go
@@ -105,32 +105,10 @@
 			}
 		}
 	}
-	base, err := freeBasePort()
-	if err != nil {
+	if err := s.startGateways(3, dir, s.store.address(), 0); err != nil {
 		return false, err
 	}
-	f := fleetSettings{deployment: s.deployment, dir: dir}
-	for i := range 3 {
-		f.seeds = append(f.seeds, fmt.Sprintf("127.0.0.%d:%d", i+1, base+3))
-	}
-	for i := range 3 {
-		g := &gateway{name: fmt.Sprintf("edge-kgn-a-%d", i+1), ip: fmt.Sprintf("127.0.0.%d", i+1), basePort: base}
-		if err := g.writeSettings(f, s.store.address()); err != nil {
-			return false, err
-		}
-		s.gateways = append(s.gateways, g)
-		if err := g.start(binary, 0); err != nil {
-			return false, err
-		}
-	}
-	var directories []string
-	for _, g := range s.gateways {
-		if !g.awaitReady(8 * time.Second) {
-			return false, fmt.Errorf("%s is not ready", g.name)
-		}
-		directories = append(directories, g.directory())
-	}
-	resolver := newClient(r, s.deployment, directories)
+	resolver := newClient(r, s.deployment, s.directories(nil))
 	counts := make(map[string]int)
 	bad := 0
 	send := func(k kind) {
