review: the scripts handle TROUBLE themselves

A case also ends with 2 if no request was served or if its disruption did not come about, and removes its folder when stopped.

--- a/review/standin/crowd.go
+++ b/review/standin/crowd.go
@@ -221,6 +221,9 @@
 	}
 	time.Sleep(calmBefore)
 	r.say("before: %d descriptors, ready %v, ended %v", descriptors(g), g.isReady(), g.hasEnded())
+	if g.hasEnded() {
+		return false, fmt.Errorf("the instance ended before the burst: %s", g.state)
+	}
 	if trouble {
 		c.arrive(burstClients - crowdClients)
 		for i, k := range s.deployment.kinds {
@@ -261,6 +264,9 @@
 		r.say("the process ended by itself: %s; its last line: %s", g.state, lines[len(lines)-1])
 	}
 	r.say("answers: %v; requests that had reached a server, on kept connections that ended without an answer: %d", c.counts, lost)
+	if c.counts["200"] == 0 {
+		return false, errNoTraffic
+	}
 	return lost > 3, nil
 }
 
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -97,7 +97,8 @@
 	if err := restarted.writeSettings(s.deployment, dir, seeds, toStore.address()); err != nil {
 		return false, err
 	}
-	for try, leaves := 0, 0; leaves < maxDrains && !broken && time.Since(r.start) < lastStart; try++ {
+	leaves := 0
+	for try := 0; leaves < maxDrains && !broken && time.Since(r.start) < lastStart; try++ {
 		restarted.signal(syscall.SIGTERM)
 		if !restarted.awaitEnd(7 * time.Second) {
 			return false, fmt.Errorf("%s did not end", restarted.name)
@@ -145,6 +146,9 @@
 		mu.Unlock()
 		broken = late > 0
 	}
+	if leaves == 0 {
+		return false, fmt.Errorf("%s never read the store at its start, so no server drained", restarted.name)
+	}
 	return broken, nil
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,8 +25,8 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review CASE ROOT RECORD")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil || os.Args[4] != "on" && os.Args[4] != "off" {
+		fmt.Fprintln(os.Stderr, "usage: review CASE ROOT RECORD on|off")
 		return exitNotRun
 	}
 	dir, err := os.MkdirTemp("", "review-")
@@ -53,9 +53,11 @@
 	go func() {
 		<-interrupts
 		started.killAll()
+		_ = os.RemoveAll(dir)
 		os.Exit(exitNotRun)
 	}()
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[4] == "on"
+	r.say("the disruption is %s", os.Args[4])
 	broken, err := cases[os.Args[1]](r, filepath.Join(root, "target", "galenaridge"), dir, trouble)
 	switch {
 	case err != nil:
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
 
+// errNoTraffic means that no request of a client was served.
+var errNoTraffic = errors.New("no request was served")
+
 // site is a running deployment of one zone.
 type site struct {
 	*record
--- a/review/standin/spoil.go
+++ b/review/standin/spoil.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -110,12 +111,15 @@
 	}
 	resolver := newClient(r, s.deployment, s.directories(nil))
 	counts := make(map[string]int)
-	bad := 0
+	bad, served := 0, 0
 	send := func(k kind) {
 		a := s.sendRaw(resolver, k)
 		mu.Lock()
 		defer mu.Unlock()
 		counts[fmt.Sprintf("%s %d", k.name, a.status)]++
+		if a.status == http.StatusOK {
+			served++
+		}
 		if a.err != nil {
 			bad++
 			if bad <= 20 {
@@ -147,6 +151,12 @@
 	senders.Wait()
 	pending.Wait()
 	r.say("answers: %v; spoiled by servers: %d; not HTTP at clients: %d", counts, len(spoiled), bad)
+	switch {
+	case served == 0:
+		return false, errNoTraffic
+	case trouble && len(spoiled) == 0:
+		return false, errors.New("no server spoiled an answer")
+	}
 	return bad > 0, nil
 }
 
