Log which servers an instance has to keep in use and does not

The log could not tell why servers without a fault get no request: whether the instance that covers them cannot reach them, or suspects them and covers too few. It had neither the number of such servers nor a mark on the attempts that keep servers in use.

An active instance now writes servers-unused, once a second at most for each service, with those that it cannot reach and those that it suspects, and once without a count at the end. Attempts of coverage have "cover" in the log, and galenaridge_service_unused shows the same on the metrics address.

--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -57,7 +57,7 @@
 	defer p.mu.Unlock()
 	expected := p.durations.expected(options.Kind, options.LatencyObjective)
 	chosen, calmCoverage := p.chooseForCoverage(now, options)
-	trial := false
+	trial, coverage := false, chosen != nil
 	if chosen == nil {
 		chosen, trial = p.chooseServer(now, options, expected)
 		calmCoverage = false
@@ -77,6 +77,7 @@
 	attempt := &Attempt{
 		Server:             chosen.info,
 		Trial:              trial,
+		Coverage:           coverage,
 		ExpectedDuration:   expected,
 		FailureProbability: chosen.failureProbability(now),
 		ServerRequests:     int(chosen.requests(now)),
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -149,6 +149,9 @@
 	Server registry.Server
 	// Trial is set if the attempt tests a suspected server.
 	Trial bool
+	// Coverage is set if the attempt keeps a server in use that would get no request by
+	// its estimate.
+	Coverage bool
 	// ExpectedDuration is the expected duration of the request, without the wait for
 	// a slot.
 	ExpectedDuration time.Duration
--- a/core/balance/queries.go
+++ b/core/balance/queries.go
@@ -10,8 +10,17 @@
 	Suspected   int
 	Cut         int
 	Outstanding int
+	// Unused is the number of servers that this instance has to keep in use and that got
+	// no request of any instance for unusedAfter, UnusedCut the number of those of them
+	// that it cannot reach, UnusedSuspected the number of those that it suspects.
+	Unused          int
+	UnusedCut       int
+	UnusedSuspected int
 }
 
+// unusedAfter is the time without a request after which a server counts as unused.
+const unusedAfter = 2 * time.Second
+
 // Counts returns the number of live servers in each condition at now.
 func (p *Pool) Counts(now time.Time) Counts {
 	p.mu.Lock()
@@ -19,7 +28,11 @@
 	counts := Counts{Servers: len(p.live)}
 	for _, s := range p.live {
 		counts.Outstanding += len(s.attempts)
-		switch s.condition(now) {
+		condition := s.condition(now)
+		if p.covers(s.info.Domain) && now.Sub(s.lastRequestAt(now)) > unusedAfter {
+			counts.countUnused(condition)
+		}
+		switch condition {
 		case Healthy:
 			counts.Healthy++
 		case Stalling:
@@ -40,3 +53,14 @@
 	defer p.mu.Unlock()
 	return p.durations.expected(kind, objective)
 }
+
+func (c *Counts) countUnused(condition Condition) {
+	c.Unused++
+	switch condition {
+	case Cut:
+		c.UnusedCut++
+	case Suspected, Stalling:
+		c.UnusedSuspected++
+	case Healthy:
+	}
+}
--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -204,6 +204,7 @@
 		StartOffset:        startedAt.Sub(arrivedAt),
 		Duration:           now.Sub(startedAt),
 		Trial:              chosen.Trial,
+		Coverage:           chosen.Coverage,
 		Hedge:              hedge,
 		Result:             result,
 		Status:             response.Status,
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -98,6 +98,7 @@
 	StartOffset      time.Duration
 	Duration         time.Duration
 	Trial            bool
+	Coverage         bool
 	Hedge            bool
 	Result           balance.Result
 	Status           int
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -72,11 +72,14 @@
 	roleChangedAt time.Time
 	// followUntil is the time until which this instance reads the store although it is
 	// not an active store reader.
-	followUntil     time.Time
-	tickCount       int
-	storeLost       bool
-	heartbeatUrgent bool
-	rateMeasuredAt  time.Time
+	followUntil time.Time
+	tickCount   int
+	storeLost   bool
+	// unused holds the services with unused servers in the last report of unusedReportedAt.
+	unused           map[fleet.ServiceName]bool
+	unusedReportedAt time.Time
+	heartbeatUrgent  bool
+	rateMeasuredAt   time.Time
 }
 
 // New returns a loop. Its commands are executed by Run.
@@ -92,6 +95,7 @@
 			Seeds: options.Seeds,
 		}),
 		upstreams:      make(map[fleet.ServiceName]*dispatch.Upstream),
+		unused:         make(map[fleet.ServiceName]bool),
 		usable:         make(map[registry.Incarnation]fleet.ServiceName),
 		rateMeasuredAt: options.Clock.Now(),
 		startedAt:      options.Clock.Now(),
@@ -188,6 +192,7 @@
 	s.updateRequestRate(now)
 	s.updateRole(now)
 	s.reportServers(now)
+	s.reportUnused(now)
 }
 
 // applyServers updates the pools with the listed servers.
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -71,6 +71,9 @@
 	// MachineSlowChanged reports that the machine has become slow or has recovered,
 	// with the mean lag of its ticks.
 	MachineSlowChanged(slow bool, lag time.Duration)
+	// ServersUnused reports how many servers of a service this instance does not keep in
+	// use although it has to, at most once per unusedReportInterval, and once zero.
+	ServersUnused(service fleet.ServiceName, counts balance.Counts)
 	Stopping()
 }
 
--- a/core/gateway/role.go
+++ b/core/gateway/role.go
@@ -176,6 +176,25 @@
 	}
 }
 
+// unusedReportInterval is the time between two reports of unused servers to Events.
+const unusedReportInterval = time.Second
+
+// reportUnused reports the services of which an active instance does not keep all servers in
+// use, and once the end of that.
+func (s *state) reportUnused(now time.Time) {
+	if s.workingSet.View().Role() != workset.Active || now.Sub(s.unusedReportedAt) < unusedReportInterval {
+		return
+	}
+	s.unusedReportedAt = now
+	for name, u := range s.upstreams {
+		counts := u.Servers.Counts(now)
+		if counts.Unused > 0 || s.unused[name] {
+			s.options.Events.ServersUnused(name, counts)
+		}
+		s.unused[name] = counts.Unused > 0
+	}
+}
+
 // reportServers sends reports about servers to the other active instances. If there are
 // too many servers for one datagram, instances of another failure domain get reports only
 // about the servers there: they rarely use other servers, and traffic between failure
--- a/core/gateway/support_test.go
+++ b/core/gateway/support_test.go
@@ -33,6 +33,7 @@
 	removed       []fleet.ServerID
 	started       int64
 	slow          []bool
+	unused        []int
 	// reported holds the reports that each peer received.
 	reported map[fleet.Address][]balance.ServerReport
 }
@@ -71,7 +72,10 @@
 func (r *recorder) StoreRegained(time.Duration)                                             {}
 func (r *recorder) CopyFetched(follow.FetchReport)                                          {}
 func (r *recorder) MachineSlowChanged(slow bool, _ time.Duration)                           { r.slow = append(r.slow, slow) }
-func (r *recorder) Stopping()                                                               {}
+func (r *recorder) ServersUnused(_ fleet.ServiceName, counts balance.Counts) {
+	r.unused = append(r.unused, counts.Unused)
+}
+func (r *recorder) Stopping() {}
 
 // newTestLoop returns the loop of an instance in failure domain "a". Its commands are
 // executed by runCommands.
--- a/io/decisionlog/line.go
+++ b/io/decisionlog/line.go
@@ -32,6 +32,9 @@
 	WorkingSetChanged Event = "working-set-changed"
 	// MachineSlowChanged reports that the machine has become slow or has recovered.
 	MachineSlowChanged Event = "machine-slow"
+	// ServersUnused reports how many servers this instance does not keep in use although
+	// it has to.
+	ServersUnused Event = "servers-unused"
 )
 
 // Events of the process.
@@ -82,6 +85,8 @@
 	// fails its requests.
 	FailureProbability float64  `json:"failing,omitempty"`
 	Count              int64    `json:"count,omitempty"`
+	CutCount           int64    `json:"cut,omitempty"`
+	SuspectedCount     int64    `json:"suspected,omitempty"`
 	ReceivedBytes      int64    `json:"bytes,omitempty"`
 	AgeMS              int64    `json:"age_ms,omitempty"`
 	Addresses          []string `json:"list,omitempty"`
@@ -103,6 +108,8 @@
 	Result             string  `json:"result"`
 	Status             int     `json:"status,omitempty"`
 	Trial              bool    `json:"trial,omitempty"`
-	Hedge              bool    `json:"hedge,omitempty"`
-	Error              string  `json:"error,omitempty"`
+	// Coverage is set if the attempt keeps the server in use.
+	Coverage bool   `json:"cover,omitempty"`
+	Hedge    bool   `json:"hedge,omitempty"`
+	Error    string `json:"error,omitempty"`
 }
--- a/io/decisionlog/writer_test.go
+++ b/io/decisionlog/writer_test.go
@@ -76,9 +76,9 @@
 	}{
 		{Line{}, []string{
 			"time", "instance", "event", "id", "route", "service", "idempotent", "version", "revision", "known", "list_age_ms", "outcome", "code",
-			"status", "took_ms", "left_ms", "caller_left", "attempts", "server", "peer", "state", "cause", "failing", "count", "bytes", "age_ms", "list",
+			"status", "took_ms", "left_ms", "caller_left", "attempts", "server", "peer", "state", "cause", "failing", "count", "cut", "suspected", "bytes", "age_ms", "list",
 		}},
-		{Attempt{}, []string{"server", "at_ms", "took_ms", "expected_ms", "failing", "busy", "result", "status", "trial", "hedge", "error"}},
+		{Attempt{}, []string{"server", "at_ms", "took_ms", "expected_ms", "failing", "busy", "result", "status", "trial", "cover", "hedge", "error"}},
 	}
 	for _, test := range tests {
 		var names []string
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -60,6 +60,7 @@
 			Result:             a.Result.String(),
 			Status:             a.Status,
 			Trial:              a.Trial,
+			Coverage:           a.Coverage,
 			Hedge:              a.Hedge,
 			Error:              a.Err,
 		})
@@ -203,5 +204,16 @@
 	j.writer.Write(line)
 }
 
+// ServersUnused implements gateway.Events of core.
+func (j *decisionJournal) ServersUnused(service fleet.ServiceName, counts balance.Counts) {
+	j.writer.Write(decisionlog.Line{
+		Event:          decisionlog.ServersUnused,
+		Service:        string(service),
+		Count:          int64(counts.Unused),
+		CutCount:       int64(counts.UnusedCut),
+		SuspectedCount: int64(counts.UnusedSuspected),
+	})
+}
+
 // Stopping implements gateway.Events of core.
 func (j *decisionJournal) Stopping() { j.writer.Write(decisionlog.Line{Event: decisionlog.Stopping}) }
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -65,6 +65,7 @@
 		} {
 			fmt.Fprintf(&b, "galenaridge_service_servers{service=%q,state=%q} %d\n", name, g.state, g.count)
 		}
+		fmt.Fprintf(&b, "galenaridge_service_unused{service=%q} %d\n", name, counts.Unused)
 		fmt.Fprintf(&b, "galenaridge_service_outstanding{service=%q} %d\n", name, counts.Outstanding)
 	}
 	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
