--- a/standin/pattern/floor_test.go
+++ b/standin/pattern/floor_test.go
@@ -75,6 +75,14 @@
 				{Kind: Errors, At: begin, For: long, Share: 0.2, Strength: 0.5},
 			}
 		}},
+		{"cut off from the only instance of their failure domain", func(p *Pattern) {
+			cutFromTheirOwn(p, 0.75)
+		}},
+		{"cut off from the only instance of their failure domain while others stall", func(p *Pattern) {
+			cutFromTheirOwn(p, 0.5)
+			p.Noise.Hangs = true
+			p.Faults = append(p.Faults, Fault{Kind: Stall, At: begin, For: long, Share: 0.3, Strength: 0.5})
+		}},
 		{"most servers fail some requests", func(p *Pattern) {
 			p.Faults = []Fault{{Kind: Errors, At: begin, For: long, Share: 0.7, Strength: 0.25}}
 		}},
@@ -109,6 +117,14 @@
 	}
 }
 
+// cutFromTheirOwn cuts a share of the servers off from one instance of two, which are the
+// only ones of their failure domains.
+func cutFromTheirOwn(p *Pattern, share float64) {
+	const begin, long = 4 * time.Second, 8 * time.Second
+	p.Domains = []Domain{{Servers: 37, Instances: 1}, {Servers: 37, Instances: 1}, {Servers: 37, Instances: 1}}
+	p.Faults = []Fault{{Kind: Cut, At: begin, For: long, Share: share, From: []int{0, 2}}}
+}
+
 func Example() {
 	result := largeService().Play(1)
 	fmt.Println(result.Share(Served, settled, 10*time.Second) > 0.95)
--- a/standin/pattern/pattern.go
+++ b/standin/pattern/pattern.go
@@ -55,6 +55,8 @@
 	Length time.Duration
 	// Fails is the share of requests that fail meanwhile.
 	Fails float64
+	// Hangs is set if these requests get no response, instead of an error.
+	Hangs bool
 }
 
 // FaultKind is what a Fault does.
@@ -84,6 +86,9 @@
 	// of the instances for Cut, and the factor for Slow; Join has none.
 	Share    float64
 	Strength float64
+	// From holds the instances that cannot reach the servers, for Cut. If it is empty, they
+	// are drawn for each server.
+	From []int
 }
 
 // Outcome is what became of a request.
@@ -148,8 +153,8 @@
 func (f Floor) Share() float64 { return float64(f.Used) / float64(max(f.Sound, 1)) }
 
 // Floors returns the use of sound servers in each window of a length, in steps of a quarter
-// of it, from a time on. A server is sound if it had no fault in the window, in the time
-// before it, and no noise in the window and shortly before.
+// of it, from a time on. A server is sound if it had no fault but cuts in the window, in the
+// time before it, and no noise in the window and shortly before.
 func (r *Result) Floors(from, window time.Duration) []Floor {
 	last := r.Requests[len(r.Requests)-1].ArrivedAt
 	var floors []Floor
--- a/standin/pattern/play.go
+++ b/standin/pattern/play.go
@@ -159,7 +159,11 @@
 			disturbed := span{from: fault.At, to: fault.At + fault.For, fault: fault}
 			if fault.Kind == Cut {
 				disturbed.cutFrom = make(map[int]bool)
-				for _, from := range y.random.Perm(total)[:int(fault.Strength*float64(total)+0.5)] {
+				from := fault.From
+				if len(from) == 0 {
+					from = y.random.Perm(total)[:int(fault.Strength*float64(total)+0.5)]
+				}
+				for _, from := range from {
 					disturbed.cutFrom[from] = true
 				}
 			}
@@ -321,7 +325,7 @@
 // take is the arrival of an attempt at its server.
 func (y *player) take(a *attempt) {
 	s := a.server
-	if f, ok := s.active(Stall, y.now); ok && y.random.Float64() < f.fault.Strength {
+	if share := s.hangShare(y.now, &y.pattern); share > 0 && y.random.Float64() < share {
 		y.after(a.request.deadline-y.now, func() { y.finish(a, balance.Stalled) })
 		return
 	}
--- a/standin/pattern/server.go
+++ b/standin/pattern/server.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"galenaridge/core/registry"
@@ -58,7 +59,12 @@
 	if join, joins := s.joining(); joins && from < join.from {
 		return false
 	}
-	return !overlaps(s.noise, from, to, soundAfterNoise) && !overlaps(s.faults, from, to, soundAfterFault)
+	return !overlaps(s.noise, from, to, soundAfterNoise) && !overlaps(s.ownFaults(), from, to, soundAfterFault)
+}
+
+// ownFaults returns the faults without cuts: a server that some instances reach is sound.
+func (s *server) ownFaults() []span {
+	return slices.DeleteFunc(slices.Clone(s.faults), func(f span) bool { return f.fault.Kind == Cut })
 }
 
 // active returns the fault of a kind at a time.
@@ -82,13 +88,28 @@
 	return span{}, false
 }
 
+// noiseAt reports whether the server is failing without an announced fault.
+func (s *server) noiseAt(at time.Duration) bool {
+	return slices.ContainsFunc(s.noise, func(n span) bool { return n.contains(at) })
+}
+
+// hangShare returns the share of requests that get no response at a time.
+func (s *server) hangShare(at time.Duration, p *Pattern) float64 {
+	share := 0.0
+	if p.Noise.Hangs && s.noiseAt(at) {
+		share = p.Noise.Fails
+	}
+	if f, ok := s.active(Stall, at); ok {
+		share = max(share, f.fault.Strength)
+	}
+	return share
+}
+
 // failShare returns the share of requests that fail at a time.
 func (s *server) failShare(at time.Duration, p *Pattern) float64 {
 	share := p.ErrorShare
-	for _, n := range s.noise {
-		if n.contains(at) {
-			share = max(share, p.Noise.Fails)
-		}
+	if !p.Noise.Hangs && s.noiseAt(at) {
+		share = max(share, p.Noise.Fails)
 	}
 	if f, ok := s.active(Errors, at); ok {
 		share = max(share, f.fault.Strength)
