Let other failure domains use servers that their own one withholds

Cause: what one observer sees of its path counted as the state of the server. A failure domain mostly has one active instance. If that cannot reach a server it leaves it out, also of coverage, or it has a request on it without a response and suspects it; every other instance covers only servers of its own failure domain, and took the estimate of the first one as evidence. In the incident all 74 are in the failure domains of two instances, their last arrivals are at 10 s and the next at 16.5 s to 18 s, when a cut of paths that began at 10 s had ended, and 27 of them had failed nothing before.

Change: an instance reports the servers of its failure domain that it withholds requests from, to all active instances. Two other failure domains, by rendezvous for each server, test such servers with requests that may be repeated and cover those that are not suspected, with one request in five at most. A report about a server that could not be connected to carries no estimate.

Why it works: a server stays in use as long as one of three failure domains reaches it; a server that fails for all is suspected by all of them, as before.

--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -31,6 +31,7 @@
 	p.byIncarnation = byIncarnation
 	p.byKey = byKey
 	p.live = live
+	p.assignAssistance()
 }
 
 // PickOptions describes the request that a server is chosen for.
@@ -90,6 +91,11 @@
 		calmCoverage:       calmCoverage,
 		stallAfter:         time.Duration(stallFactor*float64(expected)) + expectedWait + stallMargin,
 	}
+	if coverage && p.assists(now, chosen) {
+		p.requestsSinceAssistance = 0
+	} else {
+		p.requestsSinceAssistance++
+	}
 	chosen.attempts = append(chosen.attempts, attempt)
 	chosen.lastAttemptAt = now
 	if !trial {
@@ -120,7 +126,7 @@
 		if now.Before(s.cutUntil) {
 			cost += cutCost
 		}
-		if local && interval > 0 && s.mayReceiveTrial(now, probability, interval) && (trial == nil || cost < trialCost) {
+		if (local || p.assists(now, s)) && interval > 0 && s.mayReceiveTrial(now, probability, interval) && (trial == nil || cost < trialCost) {
 			trial, trialCost = s, cost
 		}
 		switch {
--- a/core/balance/coverage.go
+++ b/core/balance/coverage.go
@@ -94,24 +94,38 @@
 	if options.Idempotent {
 		interval = idempotentCoverInterval
 	}
-	var best *server
-	lowest := 1.0
+	var best, assisted *server
+	lowest, lowestAssisted := 1.0, 1.0
 	reachable, inUse := 0, 0
+	mayAssist := p.requestsSinceAssistance >= requestsPerAssistance
 	for _, s := range p.live {
-		if !p.covers(s.info.Domain) || now.Before(s.cutUntil) || p.notices.excludes(now, s.info.Incarnation) {
+		assists := p.assists(now, s)
+		if !assists && !p.covers(s.info.Domain) || now.Before(s.cutUntil) || p.notices.excludes(now, s.info.Incarnation) {
 			continue
 		}
-		reachable++
-		if now.Sub(s.lastRequestAt(now)) < interval || s.requests(now) >= s.slots() {
-			inUse++
+		used := now.Sub(s.lastRequestAt(now)) < interval || s.requests(now) >= s.slots()
+		if !assists {
+			reachable++
+			if used {
+				inUse++
+			}
+		}
+		if used || assists && !mayAssist || excluded(options.Exclude, s.info.Incarnation) {
 			continue
 		}
-		if probability := s.failureProbability(now); probability < lowest && p.mayCover(now, s, calm) && !excluded(options.Exclude, s.info.Incarnation) {
+		probability := s.failureProbability(now)
+		switch {
+		case assists && probability < lowestAssisted && p.mayCover(now, s, calm):
+			assisted, lowestAssisted = s, probability
+		case !assists && probability < lowest && p.mayCover(now, s, calm):
 			best, lowest = s, probability
 		}
 	}
 	if calm && float64(inUse) >= p.calmShare()*float64(reachable) {
-		return nil, calm
+		best = nil
+	}
+	if assisted != nil {
+		best = assisted
 	}
 	if best != nil && best.finishedProbability(now) >= suspectThreshold {
 		p.coveredAt = now
@@ -119,19 +133,6 @@
 	return best, calm
 }
 
-// SetUnattended sets the failure domains that have no active instance that gets requests.
-// This instance covers their servers as well.
-func (p *Pool) SetUnattended(domains map[fleet.Domain]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.unattended = domains
-}
-
-// covers reports whether this instance covers the servers of a failure domain.
-func (p *Pool) covers(domain fleet.Domain) bool {
-	return domain == p.options.Domain || p.unattended[domain]
-}
-
 // calmShare returns the share of servers that are kept in use while few requests fail: all
 // of them if requests that cover servers hardly ever fail, and no more than the floor if
 // they often do.
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -121,8 +121,11 @@
 	coverFailures float64
 	// unattended holds the failure domains without an active instance that gets requests.
 	unattended map[fleet.Domain]bool
-	waitLimits queueWaitLimits
-	notices    notices
+	// requestsSinceAssistance is the number of requests since one covered a server of another
+	// failure domain that withholds requests from it.
+	requestsSinceAssistance int
+	waitLimits              queueWaitLimits
+	notices                 notices
 }
 
 // DefaultFloor is the share of the servers that are kept in use if no other is set.
--- a/core/balance/reports.go
+++ b/core/balance/reports.go
@@ -36,12 +36,19 @@
 	FailureProbability float64
 	// EvidenceAge is the age of the latest evidence for that estimate.
 	EvidenceAge time.Duration
+	// Withheld is set if the sender belongs to the failure domain of the server and does not
+	// keep it in use, since it cannot reach the server or suspects it.
+	Withheld bool
+	// Shared is set if instances of all failure domains need the report, because some of
+	// them keep the server in use. It is not sent.
+	Shared bool
 }
 
 // remoteReport is the last report of another instance about a server.
 type remoteReport struct {
 	outstanding int
 	estimate    failureEstimate
+	withheld    bool
 	receivedAt  time.Time
 }
 
@@ -76,12 +83,25 @@
 			continue
 		}
 		probability, at := s.ownEvidence(now)
-		changed := len(s.attempts) != s.sentReport.Outstanding || math.Abs(probability-s.sentReport.FailureProbability) > minReportedChange
-		idle := len(s.attempts) == 0 && s.sentReport.Outstanding == 0 && now.Sub(at) > remoteReportTTL
+		if s.consecutiveCuts > 0 {
+			// What this instance sees tells about its path, not about the server.
+			probability, at = baselineProbability, time.Time{}
+		}
+		withheld := s.info.Domain == p.options.Domain && s.withheld(now)
+		changed := len(s.attempts) != s.sentReport.Outstanding || math.Abs(probability-s.sentReport.FailureProbability) > minReportedChange || withheld != s.sentReport.Withheld
+		idle := len(s.attempts) == 0 && s.sentReport.Outstanding == 0 && now.Sub(at) > remoteReportTTL && !withheld && !s.sentReport.Withheld
 		if idle || !full && !changed {
 			continue
 		}
-		s.sentReport = ServerReport{Key: s.key, Domain: s.info.Domain, Outstanding: len(s.attempts), FailureProbability: probability, EvidenceAge: now.Sub(at)}
+		s.sentReport = ServerReport{
+			Key:                s.key,
+			Domain:             s.info.Domain,
+			Outstanding:        len(s.attempts),
+			FailureProbability: probability,
+			EvidenceAge:        now.Sub(at),
+			Withheld:           withheld,
+			Shared:             withheld || s.remote(now).withheld,
+		}
 		reports = append(reports, s.sentReport)
 	}
 	return reports
@@ -99,6 +119,7 @@
 		s.remoteReports[from] = remoteReport{
 			outstanding: report.Outstanding,
 			estimate:    failureEstimate{probability: report.FailureProbability, updatedAt: now.Add(-report.EvidenceAge)},
+			withheld:    report.Withheld,
 			receivedAt:  now,
 		}
 		s.summaryKnown = false
@@ -134,6 +155,8 @@
 	latest failureEstimate
 	// lastRequestAt is when the server had the last of their requests, as far as known.
 	lastRequestAt time.Time
+	// withheld is set if an instance of the failure domain of the server withholds requests.
+	withheld bool
 	// validUntil is when the first of the reports expires.
 	validUntil time.Time
 }
@@ -154,6 +177,7 @@
 		}
 		summary.validUntil = fleet.Earlier(summary.validUntil, expiresAt)
 		summary.outstanding += r.outstanding
+		summary.withheld = summary.withheld || r.withheld
 		if r.estimate.updatedAt.After(summary.latest.updatedAt) {
 			summary.latest = r.estimate
 		}
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -33,6 +33,9 @@
 	// instance.
 	cutUntil        time.Time
 	consecutiveCuts int
+	// assisted is set if the failure domain of this instance is one of those that use the
+	// server while the instances of its own failure domain withhold requests.
+	assisted bool
 	// remoteReports holds the last report of each other instance, sentReport the last
 	// one sent by this instance.
 	remoteReports map[fleet.InstanceID]remoteReport
@@ -83,6 +86,19 @@
 	return s.withOutstandingAttempts(now, s.finishedProbability(now))
 }
 
+// withheldAfterCut is how long a server counts as withheld after the time for which it was
+// avoided as unreachable, unless a request succeeds before.
+const withheldAfterCut = 2 * time.Second
+
+// withheld reports whether this instance does not keep the server in use: it could not reach
+// it, or what it sees of it makes it suspect the server.
+func (s *server) withheld(now time.Time) bool {
+	if s.consecutiveCuts > 0 {
+		return now.Before(s.cutUntil.Add(withheldAfterCut))
+	}
+	return s.withOutstandingAttempts(now, s.ownEstimate.probabilityAt(now)) >= suspectThreshold
+}
+
 // condition returns the condition of the server at now.
 func (s *server) condition(now time.Time) Condition {
 	switch probability := s.failureProbability(now); {
--- a/core/gateway/role.go
+++ b/core/gateway/role.go
@@ -222,12 +222,13 @@
 	}
 }
 
-// reportsInDomain returns the reports about servers of a failure domain, and of the
-// unattended ones: all instances cover the servers there.
+// reportsInDomain returns the reports about servers of a failure domain, and those that
+// instances of all failure domains need: about servers with which some of them assist, and
+// about servers of unattended failure domains.
 func reportsInDomain(reports []balance.ServerReport, domain fleet.Domain, unattended map[fleet.Domain]bool) []balance.ServerReport {
 	var found []balance.ServerReport
 	for _, report := range reports {
-		if report.Domain == domain || unattended[report.Domain] {
+		if report.Domain == domain || report.Shared || unattended[report.Domain] {
 			found = append(found, report)
 		}
 	}
--- a/core/gateway/role_test.go
+++ b/core/gateway/role_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -125,11 +126,15 @@
 	tests := []struct {
 		name    string
 		servers int
-		local   int
-		remote  int
+		// withheld is the number of servers that this instance cannot reach, half of which are
+		// of its own failure domain.
+		withheld int
+		local    int
+		remote   int
 	}{
-		{"few servers", 40, 40, 40},
-		{"many servers", 200, 200, 100},
+		{"few servers", 40, 0, 40, 40},
+		{"many servers", 200, 0, 200, 100},
+		{"many servers, some withheld", 200, 20, 190, 100},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -155,6 +160,9 @@
 				lease, refusal := upstream.Servers.Pick(clock.Now(), balance.PickOptions{LatencyObjective: time.Second, TimeLeft: time.Second, Exclude: tried})
 				require.Equal(t, balance.Chosen, refusal)
 				tried = append(tried, lease.Server.Incarnation)
+				if index, err := strconv.Atoi(string(lease.Server.ID[1:])); err == nil && index < test.withheld {
+					lease.Finish(clock.Now(), balance.Unreachable, balance.Load{})
+				}
 			}
 			l.state.tick()
 			require.Len(t, r.reported["a-2"], test.local)
--- a/io/peer/datagram/codec.go
+++ b/io/peer/datagram/codec.go
@@ -83,7 +83,10 @@
 // encodeReport returns a report as a datagram.
 func encodeReport(r gateway.Report) ([]byte, error) {
 	message := &peerpb.Report{Id: string(r.Sender.ID), Incarnation: uint64(r.Sender.Incarnation)}
-	for _, server := range r.ServerReports {
+	for i, server := range r.ServerReports {
+		if server.Withheld {
+			message.Withheld = append(message.Withheld, uint32(i))
+		}
 		message.Server = append(message.Server, uint32(server.Key))
 		message.Outstanding = append(message.Outstanding, uint32(server.Outstanding))
 		message.Failing = append(message.Failing, uint32(server.FailureProbability*probabilityScale))
@@ -115,6 +118,12 @@
 			EvidenceAge:        time.Duration(message.GetAgeMs()[i]) * time.Millisecond,
 		})
 	}
+	for _, i := range message.GetWithheld() {
+		if int(i) >= n {
+			return gateway.Report{}, eris.New("report withholds a server that it does not list")
+		}
+		r.ServerReports[i].Withheld = true
+	}
 	return r, nil
 }
 
--- a/io/peer/datagram/codec_test.go
+++ b/io/peer/datagram/codec_test.go
@@ -32,8 +32,11 @@
 		Contacts: []fleet.Address{"10.0.0.2:1"}, RequestsContacts: true,
 	}
 	report := gateway.Report{
-		Sender:        fleet.Member{ID: "i", Incarnation: 7},
-		ServerReports: []balance.ServerReport{{Key: 5, Outstanding: 3, FailureProbability: 0.25, EvidenceAge: 40 * time.Millisecond}},
+		Sender: fleet.Member{ID: "i", Incarnation: 7},
+		ServerReports: []balance.ServerReport{
+			{Key: 5, Outstanding: 3, FailureProbability: 0.25, EvidenceAge: 40 * time.Millisecond},
+			{Key: 6, FailureProbability: 0.5, Withheld: true},
+		},
 	}
 	var got inbox
 	data, err := encodeHeartbeat(heartbeat)
