Cover as many suspected servers as the floor needs, and count real use

- A server with an outstanding request counted as used just now, for as long as the request got no response (up to 3 s).
Reports carry the age of the last request now, without attempts that reached no server.
It covers those that the floor lacks within about 0.4 s now, with one request in four at most.
- Help was asked for every suspected server.
Most of these fail for everybody, so helping cost more than it served.
An instance asks for help while 8% of its requests fail and too few of its servers are in use, and helps slowly while most of its help fails.
Other instances leave the calm mode when many servers are withheld elsewhere, since the floor counts all failure domains together.

--- a/core/balance/assistance.go
+++ b/core/balance/assistance.go
@@ -21,7 +21,20 @@
 	assistingDomains = 2
 	// requestsPerAssistance bounds the share of requests that cover servers of other failure
 	// domains: one in so many. These servers may be gone.
-	requestsPerAssistance = 5
+	requestsPerAssistance = 3
+	// maxAssistanceFailures is the share of failures among the requests with which an instance
+	// assists above which the servers fail rather than the paths to them, so that assistance
+	// is of little use.
+	maxAssistanceFailures = 0.3
+	// helpFailureShare is the share of failed requests at which an instance needs help. The
+	// suspected servers of a service that fails fewer are mostly failing.
+	helpFailureShare = 0.08
+	// helpMargin is the margin above the floor below which an instance needs help: help takes
+	// some time to come.
+	helpMargin = 0.15
+	// helpTime is how long an instance needs help after too few servers were in use. With
+	// help they are in use again, so it must outlast that.
+	helpTime = 3 * time.Second
 )
 
 // SetUnattended sets the failure domains that have no active instance that gets requests.
@@ -44,6 +57,35 @@
 	return s.assisted && s.remote(now).withheld
 }
 
+// updateNeedForHelp determines whether this instance needs help: the service fails, and not
+// enough servers of its own failure domain are in use by any instance.
+func (p *Pool) updateNeedForHelp(now time.Time) {
+	servers, inUse := 0, 0
+	for _, s := range p.live {
+		if s.info.Domain != p.options.Domain || p.notices.excludes(now, s.info.Incarnation) {
+			continue
+		}
+		servers++
+		if now.Sub(s.lastUseAt) < coverInterval || now.Sub(s.remote(now).lastRequestAt) < coverInterval {
+			inUse++
+		}
+	}
+	if p.missing(inUse, servers, helpMargin) > 0 && p.failureShare(now) >= helpFailureShare {
+		p.helpUntil = now.Add(helpTime)
+	}
+}
+
+// usefulAssistance returns how many of the suspected servers for which help is wanted this
+// instance should cover soon. If most requests to such servers fail here as well, it is none,
+// and they are covered as rarely as other suspected servers.
+func (p *Pool) usefulAssistance(now time.Time, wanted int) int {
+	overdue := p.countOverdue(now, func(a *Attempt) bool { return a.assistance })
+	if p.assistance.failureShare(now, overdue) > maxAssistanceFailures {
+		return 0
+	}
+	return wanted
+}
+
 // assignAssistance determines the servers that this instance may have to assist with. Each
 // instance gets the same result for the same servers and unattended failure domains.
 func (p *Pool) assignAssistance() {
--- a/core/balance/commands.go
+++ b/core/balance/commands.go
@@ -87,17 +87,21 @@
 		kind:               options.Kind,
 		idempotent:         options.Idempotent,
 		startedAt:          now,
+		previousUseAt:      chosen.lastUseAt,
 		expectedWait:       expectedWait,
 		calmCoverage:       calmCoverage,
+		assistance:         coverage && p.assists(now, chosen),
 		stallAfter:         time.Duration(stallFactor*float64(expected)) + expectedWait + stallMargin,
 	}
-	if coverage && p.assists(now, chosen) {
+	p.requestsSinceSuspected++
+	if attempt.assistance {
 		p.requestsSinceAssistance = 0
+		p.assistance.recordStart(now)
 	} else {
 		p.requestsSinceAssistance++
 	}
 	chosen.attempts = append(chosen.attempts, attempt)
-	chosen.lastAttemptAt = now
+	chosen.lastAttemptAt, chosen.lastUseAt = now, now
 	if !trial {
 		p.recentAttempts.recordStart(now)
 	}
@@ -237,6 +241,9 @@
 	if a.calmCoverage && result != Abandoned {
 		p.recordCoverage(result)
 	}
+	if a.assistance && (result == Failed || result == Stalled) {
+		p.assistance.recordFailure(now)
+	}
 	if !a.idempotent && (result == Failed || result == Stalled || result == Shed) {
 		p.recentAttempts.recordFailure(now)
 	}
@@ -252,6 +259,9 @@
 		s.reportedLoad = Load{Running: int(s.info.Slots), Waiting: int(s.info.Slots), Slots: s.info.Slots}
 		s.loadReportedAt, s.loadAssumed = now, true
 	case Unreachable, Misdirected:
+		if s.lastUseAt.Equal(a.startedAt) {
+			s.lastUseAt = a.previousUseAt
+		}
 		s.consecutiveCuts++
 		s.cutUntil = now.Add(min(minCutBackoff<<min(s.consecutiveCuts-1, maxCutDoublings), maxCutBackoff))
 	case Abandoned:
--- a/core/balance/coverage.go
+++ b/core/balance/coverage.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"galenaridge/core/fleet"
@@ -18,18 +19,28 @@
 	// Failures of idempotent requests do not count, because second attempts serve most
 	// of those requests. Occasional errors of healthy servers stay below this share.
 	coverFailureShare = 0.055
+	// strainedShare is the share of the servers that other instances withhold requests from
+	// above which all servers are covered.
+	strainedShare = 0.1
 	// coverInterval is the time without a request after which a server is due for
 	// coverage. It leaves a margin, since the floor must hold over any 2 s.
 	// Idempotent requests cover a server earlier, after idempotentCoverInterval,
 	// because they may be repeated.
 	coverInterval           = 1600 * time.Millisecond
 	idempotentCoverInterval = 1200 * time.Millisecond
+	// assistInterval is the same for a server that the instances of its own failure domain
+	// withhold requests from. The last of their requests may not have reached it.
+	assistInterval = 500 * time.Millisecond
 	// suspectedCoverDelay is the time after its last failure at which a suspected
 	// server becomes eligible for coverage.
 	suspectedCoverDelay = 3 * time.Second
-	// suspectedCoverInterval is the minimum time between two coverage requests to
-	// suspected servers.
-	suspectedCoverInterval = 250 * time.Millisecond
+	// maxSuspectedCoverInterval is the longest time between two coverage requests to
+	// suspected servers while several are due. Those without which the floor would not be
+	// kept are covered within about suspectedCoverSpan. requestsPerSuspectedCoverage bounds
+	// the share of requests that cover suspected servers: one in so many.
+	maxSuspectedCoverInterval    = 250 * time.Millisecond
+	suspectedCoverSpan           = 400 * time.Millisecond
+	requestsPerSuspectedCoverage = 4
 	// calmCoverThreshold is the failure probability above which a server is not covered in
 	// calm times. A healthy server is below it about 2 s after a single error.
 	calmCoverThreshold = 0.4
@@ -89,48 +100,107 @@
 // The servers of a failure domain are covered by the instances there, and by all if those
 // get no requests. Each counts a request of any of them, and none waits for another.
 func (p *Pool) chooseForCoverage(now time.Time, options PickOptions) (_ *server, calm bool) {
-	calm = p.recentAttempts.failureShare(now, p.countOverdue(now)) < coverFailureShare
+	calm = p.failureShare(now) < coverFailureShare && !p.strainedElsewhere(now)
 	interval := coverInterval
 	if options.Idempotent {
 		interval = idempotentCoverInterval
 	}
-	var best, assisted *server
-	lowest, lowestAssisted := 1.0, 1.0
-	reachable, inUse := 0, 0
+	var own, assisted, suspected candidate
+	reachable, inUse, wanted := 0, 0, 0
 	mayAssist := p.requestsSinceAssistance >= requestsPerAssistance
 	for _, s := range p.live {
 		assists := p.assists(now, s)
 		if !assists && !p.covers(s.info.Domain) || now.Before(s.cutUntil) || p.notices.excludes(now, s.info.Incarnation) {
 			continue
 		}
-		used := now.Sub(s.lastRequestAt(now)) < interval || s.requests(now) >= s.slots()
+		due := interval
+		if assists {
+			due = assistInterval
+		}
+		used := now.Sub(s.lastRequestAt(now)) < due || s.requests(now) >= s.slots()
 		if !assists {
 			reachable++
 			if used {
 				inUse++
 			}
 		}
-		if used || assists && !mayAssist || excluded(options.Exclude, s.info.Incarnation) {
+		if used || !s.mayCover(now, calm, assists) {
+			continue
+		}
+		isSuspected := s.finishedProbability(now) >= suspectThreshold
+		if isSuspected && assists {
+			wanted++
+		}
+		if assists && !mayAssist || excluded(options.Exclude, s.info.Incarnation) {
 			continue
 		}
-		probability := s.failureProbability(now)
 		switch {
-		case assists && probability < lowestAssisted && p.mayCover(now, s, calm):
-			assisted, lowestAssisted = s, probability
-		case !assists && probability < lowest && p.mayCover(now, s, calm):
-			best, lowest = s, probability
+		case isSuspected:
+			suspected.offer(s, s.failureProbability(now))
+		case assists:
+			// Those that were not used for the longest time come first.
+			assisted.offer(s, -now.Sub(s.lastRequestAt(now)).Seconds())
+		default:
+			own.offer(s, s.failureProbability(now))
 		}
 	}
 	if calm && float64(inUse) >= p.calmShare()*float64(reachable) {
-		best = nil
+		own = candidate{}
 	}
-	if assisted != nil {
-		best = assisted
+	switch {
+	case assisted.server != nil:
+		return assisted.server, calm
+	case own.server != nil:
+		return own.server, calm
+	case suspected.server != nil && p.mayCoverSuspected(now, p.usefulAssistance(now, wanted)+p.missing(inUse, reachable, 0)):
+		p.coveredAt, p.requestsSinceSuspected = now, 0
+		return suspected.server, calm
 	}
-	if best != nil && best.finishedProbability(now) >= suspectThreshold {
-		p.coveredAt = now
+	return nil, calm
+}
+
+// failureShare returns the share of failures among the requests of this instance that must
+// not be repeated.
+func (p *Pool) failureShare(now time.Time) float64 {
+	return p.recentAttempts.failureShare(now, p.countOverdue(now, func(a *Attempt) bool { return !a.idempotent }))
+}
+
+// strainedElsewhere reports whether the instances of other failure domains withhold requests
+// from many servers that they suspect. The floor counts the servers of all failure domains,
+// so each has to keep all of its own in use then.
+func (p *Pool) strainedElsewhere(now time.Time) bool {
+	withheld := 0
+	for _, s := range p.live {
+		if summary := s.remote(now); summary.withheld && summary.latest.probability >= suspectThreshold {
+			withheld++
+		}
 	}
-	return best, calm
+	return float64(withheld) > strainedShare*float64(len(p.live))
+}
+
+// candidate is the server with the lowest cost among those offered.
+type candidate struct {
+	server *server
+	cost   float64
+}
+
+func (c *candidate) offer(s *server, cost float64) {
+	if c.server == nil || cost < c.cost {
+		c.server, c.cost = s, cost
+	}
+}
+
+// missing returns how many servers more must be in use to keep the floor with a margin.
+func (p *Pool) missing(inUse, servers int, margin float64) int {
+	return max(int(math.Ceil((p.options.Floor+margin)*float64(servers)))-inUse, 0)
+}
+
+// mayCoverSuspected reports whether a suspected server that is due may be covered now. The
+// more of them are wanted in use, the more often: if most servers are suspected at the same
+// time, the floor cannot be kept without them, and most are healthy again soon.
+func (p *Pool) mayCoverSuspected(now time.Time, wanted int) bool {
+	wait := min(suspectedCoverSpan/time.Duration(max(wanted, 1)), maxSuspectedCoverInterval)
+	return now.Sub(p.coveredAt) >= wait && p.requestsSinceSuspected >= requestsPerSuspectedCoverage
 }
 
 // calmShare returns the share of servers that are kept in use while few requests fail: all
@@ -149,13 +219,13 @@
 	p.coverFailures += coverFailureWeight * (failed - p.coverFailures)
 }
 
-// countOverdue returns the number of outstanding non-idempotent attempts that exceed
-// their stall limit.
-func (p *Pool) countOverdue(now time.Time) int {
+// countOverdue returns the number of outstanding attempts of a kind that exceed their stall
+// limit.
+func (p *Pool) countOverdue(now time.Time, counts func(a *Attempt) bool) int {
 	count := 0
 	for _, s := range p.live {
 		for _, a := range s.attempts {
-			if !a.idempotent && now.Sub(a.startedAt) > a.stallAfter {
+			if counts(a) && now.Sub(a.startedAt) > a.stallAfter {
 				count++
 			}
 		}
@@ -174,17 +244,19 @@
 
 // mayCover reports whether a server is eligible for coverage: it has no outstanding
 // attempt and, in calm times, has not failed lately. While requests fail, it is not
-// suspected or its last failure was long enough ago.
-func (p *Pool) mayCover(now time.Time, s *server, calm bool) bool {
+// suspected or its last failure was long enough ago. For an instance that assists, failures
+// of the instances that withhold requests do not count.
+func (s *server) mayCover(now time.Time, calm, assists bool) bool {
 	if len(s.attempts) > 0 {
 		return false
 	}
 	probability := s.finishedProbability(now)
-	if calm {
+	if calm && !assists {
 		return probability < calmCoverThreshold
 	}
-	if probability < suspectThreshold {
-		return true
+	failedAt := s.remote(now).failedAt
+	if assists {
+		failedAt = time.Time{}
 	}
-	return now.Sub(s.lastFailureAt) >= suspectedCoverDelay && now.Sub(p.coveredAt) >= suspectedCoverInterval
+	return probability < suspectThreshold || now.Sub(later(s.lastFailureAt, failedAt)) >= suspectedCoverDelay
 }
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -116,6 +116,10 @@
 	// coverage request to a suspected server.
 	recentAttempts attemptCounter
 	coveredAt      time.Time
+	// requestsSinceSuspected is the number of requests since that one.
+	requestsSinceSuspected int
+	// helpUntil is the time until which this instance needs help to keep the floor.
+	helpUntil time.Time
 	// coverFailures is the moving average of the share of requests that failed among those
 	// that covered a server in calm times.
 	coverFailures float64
@@ -124,6 +128,7 @@
 	// requestsSinceAssistance is the number of requests since one covered a server of another
 	// failure domain that withholds requests from it.
 	requestsSinceAssistance int
+	assistance              attemptCounter
 	waitLimits              queueWaitLimits
 	notices                 notices
 }
@@ -168,6 +173,8 @@
 	kind       RequestKind
 	idempotent bool
 	startedAt  time.Time
+	// previousUseAt is when the server was last used before.
+	previousUseAt time.Time
 	// expectedWait is the estimated time until the server begins with the attempt: the time
 	// that the body needs on the link, and the wait for a slot.
 	expectedWait time.Duration
@@ -175,4 +182,7 @@
 	finished     bool
 	// calmCoverage is set if the attempt covers a server in calm times.
 	calmCoverage bool
+	// assistance is set if the attempt covers a server that the instances of its own failure
+	// domain withhold requests from.
+	assistance bool
 }
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -27,7 +27,9 @@
 	// lastFailureAt is the time when the last failed or stalled attempt ended.
 	lastFailureAt time.Time
 	// lastAttemptAt is the start of the last attempt.
-	lastAttemptAt     time.Time
+	lastAttemptAt time.Time
+	// lastUseAt is the start of the last attempt that reached the server, or still may.
+	lastUseAt         time.Time
 	consecutiveStalls int
 	// cutUntil is the time until which the server counts as unreachable from this
 	// instance.
@@ -37,9 +39,10 @@
 	// server while the instances of its own failure domain withhold requests.
 	assisted bool
 	// remoteReports holds the last report of each other instance, sentReport the last
-	// one sent by this instance.
+	// one sent by this instance. It told of the request at sentRequestAt.
 	remoteReports map[fleet.InstanceID]remoteReport
 	sentReport    ServerReport
+	sentRequestAt time.Time
 	// summary is the summary of remoteReports if summaryKnown is set.
 	summary      remoteSummary
 	summaryKnown bool
@@ -91,12 +94,12 @@
 const withheldAfterCut = 2 * time.Second
 
 // withheld reports whether this instance does not keep the server in use: it could not reach
-// it, or what it sees of it makes it suspect the server.
-func (s *server) withheld(now time.Time) bool {
+// it, or suspects it from what it sees itself while it needs help to keep the floor.
+func (s *server) withheld(now time.Time, needsHelp bool) bool {
 	if s.consecutiveCuts > 0 {
 		return now.Before(s.cutUntil.Add(withheldAfterCut))
 	}
-	return s.withOutstandingAttempts(now, s.ownEstimate.probabilityAt(now)) >= suspectThreshold
+	return needsHelp && s.withOutstandingAttempts(now, s.ownEstimate.probabilityAt(now)) >= suspectThreshold
 }
 
 // condition returns the condition of the server at now.
--- a/io/peer/datagram/codec.go
+++ b/io/peer/datagram/codec.go
@@ -90,6 +90,7 @@
 		message.Server = append(message.Server, uint32(server.Key))
 		message.Outstanding = append(message.Outstanding, uint32(server.Outstanding))
 		message.Failing = append(message.Failing, uint32(server.FailureProbability*probabilityScale))
+		message.RequestMs = append(message.RequestMs, uint32(min(server.RequestAge, maxAge).Milliseconds()))
 		message.AgeMs = append(message.AgeMs, uint32(min(server.EvidenceAge, maxAge).Milliseconds()))
 	}
 	data, err := proto.Marshal(&peerpb.Datagram{Body: &peerpb.Datagram_Report{Report: message}})
@@ -118,6 +119,16 @@
 			EvidenceAge:        time.Duration(message.GetAgeMs()[i]) * time.Millisecond,
 		})
 	}
+	// Earlier releases do not send the age of the last request. Their evidence is about as old.
+	if requestMs := message.GetRequestMs(); len(requestMs) != 0 && len(requestMs) != n {
+		return gateway.Report{}, eris.New("report has repeated fields of different lengths")
+	}
+	for i := range r.ServerReports {
+		r.ServerReports[i].RequestAge = r.ServerReports[i].EvidenceAge
+		if len(message.GetRequestMs()) == n {
+			r.ServerReports[i].RequestAge = time.Duration(message.GetRequestMs()[i]) * time.Millisecond
+		}
+	}
 	for _, i := range message.GetWithheld() {
 		if int(i) >= n {
 			return gateway.Report{}, eris.New("report withholds a server that it does not list")
--- a/standin/pattern/floor_test.go
+++ b/standin/pattern/floor_test.go
@@ -83,6 +83,15 @@
 			p.Noise.Hangs = true
 			p.Faults = append(p.Faults, Fault{Kind: Stall, At: begin, For: long, Share: 0.3, Strength: 0.5})
 		}},
+		{"one instance gets no responses from most servers", func(p *Pattern) {
+			p.Domains = []Domain{{Servers: 37, Instances: 1}, {Servers: 37, Instances: 1}, {Servers: 37, Instances: 1}}
+			p.Faults = []Fault{{Kind: Stall, At: begin, For: long, Share: 0.6, Strength: 0.8, From: []int{1}}}
+		}},
+		{"one instance of a large service gets no responses from most servers", func(p *Pattern) {
+			p.Domains = []Domain{{Servers: 100, Instances: 1}, {Servers: 100, Instances: 1}, {Servers: 100, Instances: 1}}
+			p.Rate, p.IdempotentShare = 1000, 0.26
+			p.Faults = []Fault{{Kind: Stall, At: begin, For: long, Share: 0.9, Strength: 0.8, From: []int{1}}}
+		}},
 		{"most servers fail some requests", func(p *Pattern) {
 			p.Faults = []Fault{{Kind: Errors, At: begin, For: long, Share: 0.7, Strength: 0.25}}
 		}},
--- a/standin/pattern/pattern.go
+++ b/standin/pattern/pattern.go
@@ -86,11 +86,15 @@
 	// of the instances for Cut, and the factor for Slow; Join has none.
 	Share    float64
 	Strength float64
-	// From holds the instances that cannot reach the servers, for Cut. If it is empty, they
-	// are drawn for each server.
+	// From holds the instances whose requests the fault meets, for Cut and Stall. If it is
+	// empty, they are drawn for each server for Cut, and all for Stall.
 	From []int
 }
 
+// ofPath reports whether the fault is in the paths of some instances: a server that other
+// instances reach is sound.
+func (f Fault) ofPath() bool { return f.Kind == Cut || len(f.From) > 0 }
+
 // Outcome is what became of a request.
 type Outcome uint8
 
@@ -153,8 +157,8 @@
 func (f Floor) Share() float64 { return float64(f.Used) / float64(max(f.Sound, 1)) }
 
 // Floors returns the use of sound servers in each window of a length, in steps of a quarter
-// of it, from a time on. A server is sound if it had no fault but cuts in the window, in the
-// time before it, and no noise in the window and shortly before.
+// of it, from a time on. A server is sound if it had no fault of its own in the window and in
+// the time before it, and no noise in the window and shortly before.
 func (r *Result) Floors(from, window time.Duration) []Floor {
 	last := r.Requests[len(r.Requests)-1].ArrivedAt
 	var floors []Floor
