--- a/core/balance/assistance.go
+++ b/core/balance/assistance.go
@@ -31,7 +31,7 @@
 	helpFailureShare = 0.08
 	// helpMargin is the margin above the floor below which an instance needs help: help takes
 	// some time to come.
-	helpMargin = 0.15
+	helpMargin = 0.05
 	// helpTime is how long an instance needs help after too few servers were in use. With
 	// help they are in use again, so it must outlast that.
 	helpTime = 3 * time.Second
