--- a/core/balance/assistance.go
+++ b/core/balance/assistance.go
@@ -57,6 +57,19 @@
 	return s.assisted && s.remote(now).withheld
 }
 
+// updateStrain determines whether the instances of other failure domains withhold requests
+// from many servers that they suspect. The floor counts the servers of all failure domains,
+// so each has to keep all of its own in use then.
+func (p *Pool) updateStrain(now time.Time) {
+	withheld := 0
+	for _, s := range p.live {
+		if summary := s.remote(now); summary.withheld && summary.latest.probability >= suspectThreshold {
+			withheld++
+		}
+	}
+	p.strainedElsewhere = float64(withheld) > strainedShare*float64(len(p.live))
+}
+
 // updateNeedForHelp determines whether this instance needs help: the service fails, and not
 // enough servers of its own failure domain are in use by any instance.
 func (p *Pool) updateNeedForHelp(now time.Time) {
--- a/core/balance/coverage.go
+++ b/core/balance/coverage.go
@@ -98,9 +98,10 @@
 // servers without a fault, and these may be only a few of the servers that respond.
 //
 // The servers of a failure domain are covered by the instances there, and by all if those
-// get no requests. Each counts a request of any of them, and none waits for another.
+// get no requests. Each counts a request of any of them, and none waits for another. Servers
+// with which this instance assists come first, and suspected ones last.
 func (p *Pool) chooseForCoverage(now time.Time, options PickOptions) (_ *server, calm bool) {
-	calm = p.failureShare(now) < coverFailureShare && !p.strainedElsewhere(now)
+	calm = p.failureShare(now) < coverFailureShare && !p.strainedElsewhere
 	interval := coverInterval
 	if options.Idempotent {
 		interval = idempotentCoverInterval
@@ -124,10 +125,14 @@
 				inUse++
 			}
 		}
-		if used || !s.mayCover(now, calm, assists) {
+		if used || len(s.attempts) > 0 {
 			continue
 		}
-		isSuspected := s.finishedProbability(now) >= suspectThreshold
+		probability := s.finishedProbability(now)
+		if !s.mayCover(now, probability, calm, assists) {
+			continue
+		}
+		isSuspected := probability >= suspectThreshold
 		if isSuspected && assists {
 			wanted++
 		}
@@ -136,12 +141,12 @@
 		}
 		switch {
 		case isSuspected:
-			suspected.offer(s, s.failureProbability(now))
+			suspected.offer(s, probability)
 		case assists:
 			// Those that were not used for the longest time come first.
 			assisted.offer(s, -now.Sub(s.lastRequestAt(now)).Seconds())
 		default:
-			own.offer(s, s.failureProbability(now))
+			own.offer(s, probability)
 		}
 	}
 	if calm && float64(inUse) >= p.calmShare()*float64(reachable) {
@@ -165,19 +170,6 @@
 	return p.recentAttempts.failureShare(now, p.countOverdue(now, func(a *Attempt) bool { return !a.idempotent }))
 }
 
-// strainedElsewhere reports whether the instances of other failure domains withhold requests
-// from many servers that they suspect. The floor counts the servers of all failure domains,
-// so each has to keep all of its own in use then.
-func (p *Pool) strainedElsewhere(now time.Time) bool {
-	withheld := 0
-	for _, s := range p.live {
-		if summary := s.remote(now); summary.withheld && summary.latest.probability >= suspectThreshold {
-			withheld++
-		}
-	}
-	return float64(withheld) > strainedShare*float64(len(p.live))
-}
-
 // candidate is the server with the lowest cost among those offered.
 type candidate struct {
 	server *server
@@ -242,21 +234,20 @@
 	return s.lastAttemptAt
 }
 
-// mayCover reports whether a server is eligible for coverage: it has no outstanding
-// attempt and, in calm times, has not failed lately. While requests fail, it is not
-// suspected or its last failure was long enough ago. For an instance that assists, failures
-// of the instances that withhold requests do not count.
-func (s *server) mayCover(now time.Time, calm, assists bool) bool {
-	if len(s.attempts) > 0 {
-		return false
-	}
-	probability := s.finishedProbability(now)
+// mayCover reports whether a server without outstanding attempts, which fails with the given
+// probability, is eligible for coverage. In calm times it must not have failed lately. While
+// requests fail, it is not suspected, or its last failure was long enough ago. For an instance
+// that assists, failures of the instances that withhold requests do not count.
+func (s *server) mayCover(now time.Time, probability float64, calm, assists bool) bool {
 	if calm && !assists {
 		return probability < calmCoverThreshold
 	}
-	failedAt := s.remote(now).failedAt
-	if assists {
-		failedAt = time.Time{}
+	if probability < suspectThreshold {
+		return true
+	}
+	failedAt := s.lastFailureAt
+	if !assists {
+		failedAt = later(failedAt, s.remote(now).failedAt)
 	}
-	return probability < suspectThreshold || now.Sub(later(s.lastFailureAt, failedAt)) >= suspectedCoverDelay
+	return now.Sub(failedAt) >= suspectedCoverDelay
 }
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -118,6 +118,9 @@
 	coveredAt      time.Time
 	// requestsSinceSuspected is the number of requests since that one.
 	requestsSinceSuspected int
+	// strainedElsewhere is set while the instances of other failure domains withhold requests
+	// from many servers.
+	strainedElsewhere bool
 	// helpUntil is the time until which this instance needs help to keep the floor.
 	helpUntil time.Time
 	// coverFailures is the moving average of the share of requests that failed among those
--- a/core/balance/reports.go
+++ b/core/balance/reports.go
@@ -86,6 +86,7 @@
 		p.fullReportAt = now
 	}
 	p.updateNeedForHelp(now)
+	p.updateStrain(now)
 	var reports []ServerReport
 	for _, s := range p.live {
 		if s.lastAttemptAt.IsZero() {
