Count a suspected server that is not used half in the floor

The commits before compared the servers in use with all servers.

A suspected server that is not in use counts half now, since the floor counts healthy servers. A request of the own instance to a suspected server is no use of it, so help comes sooner when it is needed.

--- a/core/balance/assistance.go
+++ b/core/balance/assistance.go
@@ -29,8 +29,8 @@
 	// helpFailureShare is the share of failed requests at which an instance needs help. The
 	// suspected servers of a service that fails fewer are mostly failing.
 	helpFailureShare = 0.08
-	// helpMargin is the margin above the floor below which an instance needs help: help takes
-	// some time to come.
+	// helpMargin is the margin above the floor below which an instance needs help and covers
+	// suspected servers soon: both take some time.
 	helpMargin = 0.05
 	// helpTime is how long an instance needs help after too few servers were in use. With
 	// help they are in use again, so it must outlast that.
@@ -73,17 +73,21 @@
 // updateNeedForHelp determines whether this instance needs help: the service fails, and not
 // enough servers of its own failure domain are in use by any instance.
 func (p *Pool) updateNeedForHelp(now time.Time) {
-	servers, inUse := 0, 0
+	var use floorUse
 	for _, s := range p.live {
 		if s.info.Domain != p.options.Domain || p.notices.excludes(now, s.info.Incarnation) {
 			continue
 		}
-		servers++
-		if now.Sub(s.lastUseAt) < coverInterval || now.Sub(s.remote(now).lastRequestAt) < coverInterval {
-			inUse++
+		// The own requests to a suspected server may not have reached it.
+		probability := s.failureProbability(now)
+		usedHere := now.Sub(s.lastUseAt) < coverInterval && probability < suspectThreshold
+		if usedHere || now.Sub(s.remote(now).lastRequestAt) < coverInterval {
+			use.addUsed()
+		} else {
+			use.addUnused(probability)
 		}
 	}
-	if p.missing(inUse, servers, helpMargin) > 0 && p.failureShare(now) >= helpFailureShare {
+	if use.missing(p.options.Floor+helpMargin) > 0 && p.failureShare(now) >= helpFailureShare {
 		p.helpUntil = now.Add(helpTime)
 	}
 }
--- a/core/balance/coverage.go
+++ b/core/balance/coverage.go
@@ -108,6 +108,7 @@
 	}
 	var own, assisted, suspected candidate
 	reachable, inUse, wanted := 0, 0, 0
+	var use floorUse
 	mayAssist := p.requestsSinceAssistance >= requestsPerAssistance
 	for _, s := range p.live {
 		assists := p.assists(now, s)
@@ -123,13 +124,17 @@
 			reachable++
 			if used {
 				inUse++
+				use.addUsed()
 			}
 		}
-		if used || len(s.attempts) > 0 {
+		if used {
 			continue
 		}
 		probability := s.finishedProbability(now)
-		if !s.mayCover(now, probability, calm, assists) {
+		if !assists {
+			use.addUnused(probability)
+		}
+		if len(s.attempts) > 0 || !s.mayCover(now, probability, calm, assists) {
 			continue
 		}
 		isSuspected := probability >= suspectThreshold
@@ -157,7 +162,7 @@
 		return assisted.server, calm
 	case own.server != nil:
 		return own.server, calm
-	case suspected.server != nil && p.mayCoverSuspected(now, p.usefulAssistance(now, wanted)+p.missing(inUse, reachable, 0)):
+	case suspected.server != nil && p.mayCoverSuspected(now, p.usefulAssistance(now, wanted)+use.missing(p.options.Floor+helpMargin)):
 		p.coveredAt, p.requestsSinceSuspected = now, 0
 		return suspected.server, calm
 	}
@@ -182,11 +187,26 @@
 	}
 }
 
-// missing returns how many servers more must be in use to keep the floor with a margin.
-func (p *Pool) missing(inUse, servers int, margin float64) int {
-	return max(int(math.Ceil((p.options.Floor+margin)*float64(servers)))-inUse, 0)
+// floorUse compares the servers in use with the floor.
+type floorUse struct{ used, all float64 }
+
+// suspectedWeight is the weight of an unused suspected server in floorUse. The floor counts
+// healthy servers, and some of the suspected ones are.
+const suspectedWeight = 0.5
+
+func (u *floorUse) addUsed() { u.used, u.all = u.used+1, u.all+1 }
+
+func (u *floorUse) addUnused(probability float64) {
+	if probability >= suspectThreshold {
+		u.all += suspectedWeight
+	} else {
+		u.all++
+	}
 }
 
+// missing returns how many servers more must be in use to reach a share.
+func (u *floorUse) missing(share float64) int { return max(int(math.Ceil(share*u.all-u.used)), 0) }
+
 // mayCoverSuspected reports whether a suspected server that is due may be covered now. The
 // more of them are wanted in use, the more often: if most servers are suspected at the same
 // time, the floor cannot be kept without them, and most are healthy again soon.
