Wait until a paused process has stopped

The harness waits for the kernel's notice now that all threads have stopped; the check is as strict as before.

--- a/standin/harness/commands.go
+++ b/standin/harness/commands.go
@@ -44,8 +44,15 @@
 	return f.markDown(ctx, slot, inst)
 }
 
-// Pause suspends an instance with SIGSTOP; the platform still lists it.
-func (f *Fleet) Pause(slot Slot) error { return f.signal(slot, syscall.SIGSTOP) }
+// Pause suspends an instance with SIGSTOP and waits until it has stopped; the platform still
+// lists it.
+func (f *Fleet) Pause(slot Slot) error {
+	inst, _, err := f.findInstance(slot)
+	if err != nil {
+		return err
+	}
+	return inst.pause()
+}
 
 // Resume continues a paused instance with SIGCONT.
 func (f *Fleet) Resume(slot Slot) error { return f.signal(slot, syscall.SIGCONT) }
@@ -191,8 +198,15 @@
 	return f.setRefuse(ctx, kindServer, string(id), true)
 }
 
-// PauseServer suspends a server listed in SeparateServers with SIGSTOP.
-func (f *Fleet) PauseServer(id fleet.ServerID) error { return f.signalServer(id, syscall.SIGSTOP) }
+// PauseServer suspends a server listed in SeparateServers with SIGSTOP and waits until it has
+// stopped.
+func (f *Fleet) PauseServer(id fleet.ServerID) error {
+	p, err := f.separateServer(id)
+	if err != nil {
+		return err
+	}
+	return p.pause()
+}
 
 // ResumeServer continues a paused server with SIGCONT.
 func (f *Fleet) ResumeServer(id fleet.ServerID) error { return f.signalServer(id, syscall.SIGCONT) }
--- a/standin/harness/process.go
+++ b/standin/harness/process.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
 )
 
 // process is one child process.
@@ -86,6 +87,31 @@
 	return eris.Wrapf(err, "signal %s", p.name)
 }
 
+// childStopped is CLD_STOPPED, the code of a child that a signal has stopped.
+const childStopped = 5
+
+// pause sends SIGSTOP and waits until all threads of the process have stopped, which takes a
+// while on a busy machine. It fails if the process exits.
+func (p *process) pause() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	// WNOWAIT leaves the state to os/exec.
+	const states = unix.WSTOPPED | unix.WEXITED | unix.WNOWAIT
+	for {
+		var status unix.Siginfo
+		err := unix.Waitid(unix.P_PID, p.command.Process.Pid, &status, states, nil)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case errors.Is(err, unix.ECHILD) || err == nil && status.Code != childStopped:
+			return eris.Wrap(errNotRunning, p.name)
+		default:
+			return eris.Wrapf(err, "wait until %s has stopped", p.name)
+		}
+	}
+}
+
 // kill sends SIGKILL to the process if it runs, and waits for its exit.
 func (p *process) kill() {
 	_ = p.command.Process.Signal(syscall.SIGKILL)
