Ask for help with unreachable servers only if the floor lacks them

An unreachable server is withheld now only while its failure domain has too few servers in use, and its estimate stays known otherwise. An unreachable server counts as unused at once.

--- a/core/balance/assistance.go
+++ b/core/balance/assistance.go
@@ -26,12 +26,15 @@
 	// assists above which the servers fail rather than the paths to them, so that assistance
 	// is of little use.
 	maxAssistanceFailures = 0.3
-	// helpFailureShare is the share of failed requests at which an instance needs help. The
-	// suspected servers of a service that fails fewer are mostly failing.
+	// helpFailureShare is the share of failed requests at which an instance needs help with
+	// suspected servers. The suspected servers of a service that fails fewer are mostly failing.
 	helpFailureShare = 0.08
 	// helpMargin is the margin above the floor below which an instance needs help and covers
 	// suspected servers soon: both take some time.
 	helpMargin = 0.05
+	// withheldAfterCut is how long a server counts as withheld after the time for which it was
+	// avoided as unreachable, unless a request succeeds before.
+	withheldAfterCut = 2 * time.Second
 	// helpTime is how long an instance needs help after too few servers were in use. With
 	// help they are in use again, so it must outlast that.
 	helpTime = 3 * time.Second
@@ -70,28 +73,44 @@
 	p.strainedElsewhere = float64(withheld) > strainedShare*float64(len(p.live))
 }
 
-// updateNeedForHelp determines whether this instance needs help: the service fails, and not
-// enough servers of its own failure domain are in use by any instance.
+// updateNeedForHelp determines whether this instance needs help: not enough servers of its own
+// failure domain are in use by any instance. With suspected servers it needs help only while
+// the service fails.
 func (p *Pool) updateNeedForHelp(now time.Time) {
 	var use floorUse
 	for _, s := range p.live {
 		if s.info.Domain != p.options.Domain || p.notices.excludes(now, s.info.Incarnation) {
 			continue
 		}
-		// The own requests to a suspected server may not have reached it.
+		// The own requests to a suspected server may not have reached it, and one that cannot
+		// be reached will get no more.
 		probability := s.failureProbability(now)
-		usedHere := now.Sub(s.lastUseAt) < coverInterval && probability < suspectThreshold
+		usedHere := now.Sub(s.lastUseAt) < coverInterval && probability < suspectThreshold && s.consecutiveCuts == 0
 		if usedHere || now.Sub(s.remote(now).lastRequestAt) < coverInterval {
 			use.addUsed()
 		} else {
 			use.addUnused(probability)
 		}
 	}
-	if use.missing(p.options.Floor+helpMargin) > 0 && p.failureShare(now) >= helpFailureShare {
+	if use.missing(p.options.Floor+helpMargin) == 0 {
+		return
+	}
+	p.cutHelpUntil = now.Add(helpTime)
+	if p.failureShare(now) >= helpFailureShare {
 		p.helpUntil = now.Add(helpTime)
 	}
 }
 
+// withholds reports whether this instance does not keep a server of its failure domain in use
+// and needs help with it: it could not reach the server, or suspects it from what it sees
+// itself.
+func (p *Pool) withholds(now time.Time, s *server) bool {
+	if s.consecutiveCuts > 0 {
+		return now.Before(p.cutHelpUntil) && now.Before(s.cutUntil.Add(withheldAfterCut))
+	}
+	return now.Before(p.helpUntil) && s.withOutstandingAttempts(now, s.ownEstimate.probabilityAt(now)) >= suspectThreshold
+}
+
 // usefulAssistance returns how many of the suspected servers for which help is wanted this
 // instance should cover soon. If most requests to such servers fail here as well, it is none,
 // and they are covered as rarely as other suspected servers.
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -121,8 +121,10 @@
 	// strainedElsewhere is set while the instances of other failure domains withhold requests
 	// from many servers.
 	strainedElsewhere bool
-	// helpUntil is the time until which this instance needs help to keep the floor.
-	helpUntil time.Time
+	// helpUntil and cutHelpUntil are the times until which this instance needs help to keep
+	// the floor, with suspected servers and with those that it cannot reach.
+	helpUntil    time.Time
+	cutHelpUntil time.Time
 	// coverFailures is the moving average of the share of requests that failed among those
 	// that covered a server in calm times.
 	coverFailures float64
--- a/core/balance/reports.go
+++ b/core/balance/reports.go
@@ -93,11 +93,11 @@
 			continue
 		}
 		probability, at := s.ownEvidence(now)
-		if s.consecutiveCuts > 0 {
+		withheld := s.info.Domain == p.options.Domain && p.withholds(now, s)
+		if withheld && s.consecutiveCuts > 0 {
 			// What this instance sees tells about its path, not about the server.
 			probability, at = baselineProbability, time.Time{}
 		}
-		withheld := s.info.Domain == p.options.Domain && s.withheld(now, now.Before(p.helpUntil))
 		changed := len(s.attempts) != s.sentReport.Outstanding || math.Abs(probability-s.sentReport.FailureProbability) > minReportedChange || withheld != s.sentReport.Withheld || s.lastUseAt.Sub(s.sentRequestAt) >= minReportedUse
 		idle := len(s.attempts) == 0 && s.sentReport.Outstanding == 0 && now.Sub(at) > remoteReportTTL && !withheld && !s.sentReport.Withheld
 		if idle || !full && !changed {
--- a/core/balance/server.go
+++ b/core/balance/server.go
@@ -89,19 +89,6 @@
 	return s.withOutstandingAttempts(now, s.finishedProbability(now))
 }
 
-// withheldAfterCut is how long a server counts as withheld after the time for which it was
-// avoided as unreachable, unless a request succeeds before.
-const withheldAfterCut = 2 * time.Second
-
-// withheld reports whether this instance does not keep the server in use: it could not reach
-// it, or suspects it from what it sees itself while it needs help to keep the floor.
-func (s *server) withheld(now time.Time, needsHelp bool) bool {
-	if s.consecutiveCuts > 0 {
-		return now.Before(s.cutUntil.Add(withheldAfterCut))
-	}
-	return needsHelp && s.withOutstandingAttempts(now, s.ownEstimate.probabilityAt(now)) >= suspectThreshold
-}
-
 // condition returns the condition of the server at now.
 func (s *server) condition(now time.Time) Condition {
 	switch probability := s.failureProbability(now); {
