--- /dev/null
+++ b/review/_kit2/backend.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// run is one request that a server began to work on.
+type run struct {
+	At        time.Time
+	Server    string
+	Service   string
+	ID        string
+	Method    string
+	Path      string
+	Body      string
+	Tenant    string
+	HasKey    bool
+	Deadline  string
+	FinishErr string
+}
+
+// backend is a stand-in for a server of PROTOCOL.md that enters itself in the store.
+type backend struct {
+	id, service, address, zone string
+	capacity                   int
+	born                       int64
+	store                      *store
+	// work is how long a request takes; a "work" parameter of the query replaces it.
+	work time.Duration
+	// handle replaces the answer to a request if it is not nil and returns true.
+	handle func(w http.ResponseWriter, r *http.Request, body []byte) bool
+
+	mu       sync.Mutex
+	runs     []run
+	running  int
+	sequence int
+	state    string
+	server   *http.Server
+	stop     chan struct{}
+}
+
+func startBackend(s *store, id, service, zone, address string, capacity int) (*backend, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{id: id, service: service, zone: zone, address: listener.Addr().String(), capacity: capacity, born: time.Now().UnixMilli(), store: s, state: "ready", stop: make(chan struct{}), work: 20 * time.Millisecond}
+	b.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
+	go func() { _ = b.server.Serve(listener) }()
+	b.beat()
+	go func() {
+		for {
+			select {
+			case <-b.stop:
+				return
+			case <-time.After(1500 * time.Millisecond):
+				b.beat()
+			}
+		}
+	}()
+	return b, nil
+}
+
+func (b *backend) beat() {
+	b.mu.Lock()
+	b.sequence++
+	entry := map[string]any{"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "capacity": b.capacity, "state": b.state, "warmup_left_ms": 0, "sequence": b.sequence, "born": b.born}
+	b.mu.Unlock()
+	b.store.put("servers/"+b.id, entry)
+}
+
+// setState changes the state in the entry of the server.
+func (b *backend) setState(state string) {
+	b.mu.Lock()
+	b.state = state
+	b.mu.Unlock()
+	b.beat()
+}
+
+// end ends the server without notice.
+func (b *backend) end() {
+	close(b.stop)
+	_ = b.server.Close()
+}
+
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.Header().Set("Galenaridge-Instance-Id", b.id)
+		return
+	}
+	id := r.Header.Get("Galenaridge-Request-Id")
+	w.Header().Set("Galenaridge-Request-Id", id)
+	if expected := r.Header.Get("Galenaridge-Expected-Instance"); expected != "" && expected != b.id {
+		w.Header().Set("Galenaridge-Instance-Id", b.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" {
+		w.Header().Set("Galenaridge-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	b.mu.Lock()
+	if b.running >= b.capacity+16 {
+		b.mu.Unlock()
+		w.Header().Set("Galenaridge-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.running++
+	n := len(b.runs)
+	b.runs = append(b.runs, run{At: time.Now(), Server: b.id, Service: b.service, ID: id, Method: r.Method, Path: r.RequestURI, Tenant: r.Header.Get("Galenaridge-Tenant"), HasKey: strings.HasPrefix(r.Header.Get("Authorization"), "Bearer "), Deadline: r.Header.Get("Galenaridge-Deadline-Ms")})
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		b.running--
+		b.mu.Unlock()
+	}()
+	body, err := io.ReadAll(r.Body)
+	b.mu.Lock()
+	b.runs[n].Body = string(body)
+	if err != nil {
+		b.runs[n].FinishErr = err.Error()
+	}
+	b.mu.Unlock()
+	if b.handle != nil && b.handle(w, r, body) {
+		return
+	}
+	work := b.work
+	if text := r.URL.Query().Get("work"); text != "" {
+		if d, err := time.ParseDuration(text); err == nil {
+			work = d
+		}
+	}
+	select {
+	case <-time.After(work):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("Galenaridge-Server-Signature", "sig."+b.id+"."+id)
+	answer := fmt.Sprintf("%s %s %s by %s", r.Method, r.RequestURI, id, b.id)
+	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+	_, _ = io.WriteString(w, answer)
+}
+
+// allRuns returns the requests that a number of servers began to work on.
+func allRuns(backends ...*backend) []run {
+	var all []run
+	for _, b := range backends {
+		b.mu.Lock()
+		all = append(all, b.runs...)
+		b.mu.Unlock()
+	}
+	return all
+}
