review: case 9, an old entry that is written late puts a draining server back into use

Cause: entries of a server are ordered by the revision of the store; their sequence is dropped.

The case shows it with real processes: a write whose answer was lost is done 6 s later, after the server has reported that it is draining. Machines send requests to it again beyond drain_ms.

--- a/review/_kit2/backend.go
+++ b/review/_kit2/backend.go
@@ -35,14 +35,20 @@
 	work time.Duration
 	// handle replaces the answer to a request if it is not nil and returns true.
 	handle func(w http.ResponseWriter, r *http.Request, body []byte) bool
+	// onLate is called after a delayed write was done.
+	onLate func()
 
 	mu       sync.Mutex
 	runs     []run
 	running  int
 	sequence int
 	state    string
-	server   *http.Server
-	stop     chan struct{}
+	// delay is how much later the next write is done.
+	delay  time.Duration
+	server *http.Server
+	stop   chan struct{}
+	// stopBeats ends the present series of heartbeats.
+	stopBeats chan struct{}
 }
 
 func startBackend(s *store, id, service, zone, address string, capacity int) (*backend, error) {
@@ -54,17 +60,34 @@
 	b.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
 	go func() { _ = b.server.Serve(listener) }()
 	b.beat()
+	b.restartBeats()
+	return b, nil
+}
+
+// heartbeat is the time between two writes of an entry.
+const heartbeat = 1500 * time.Millisecond
+
+// restartBeats lets the next write follow after a heartbeat.
+func (b *backend) restartBeats() {
+	b.mu.Lock()
+	if b.stopBeats != nil {
+		close(b.stopBeats)
+	}
+	stop := make(chan struct{})
+	b.stopBeats = stop
+	b.mu.Unlock()
 	go func() {
 		for {
 			select {
 			case <-b.stop:
 				return
-			case <-time.After(1500 * time.Millisecond):
+			case <-stop:
+				return
+			case <-time.After(heartbeat):
 				b.beat()
 			}
 		}
 	}()
-	return b, nil
 }
 
 func (b *backend) beat() {
@@ -72,7 +95,26 @@
 	b.sequence++
 	entry := map[string]any{"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "capacity": b.capacity, "state": b.state, "warmup_left_ms": 0, "sequence": b.sequence, "born": b.born}
 	b.mu.Unlock()
-	b.store.put("servers/"+b.id, entry)
+	b.write(entry)
+}
+
+// write writes the entry of the server. While delay is set, the store neither answers nor does
+// the write for that time; the server doesn't know that it will be done.
+func (b *backend) write(entry map[string]any) {
+	b.mu.Lock()
+	delay := b.delay
+	b.delay = 0
+	b.mu.Unlock()
+	if delay == 0 {
+		b.store.putEntry("servers/"+b.id, entry)
+		return
+	}
+	time.AfterFunc(delay, func() {
+		b.store.putEntry("servers/"+b.id, entry)
+		if b.onLate != nil {
+			b.onLate()
+		}
+	})
 }
 
 // setState changes the state in the entry of the server.
@@ -96,6 +138,11 @@
 	}
 	id := r.Header.Get("Galenaridge-Request-Id")
 	w.Header().Set("Galenaridge-Request-Id", id)
+	b.mu.Lock()
+	if b.state == "draining" {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	b.mu.Unlock()
 	if expected := r.Header.Get("Galenaridge-Expected-Instance"); expected != "" && expected != b.id {
 		w.Header().Set("Galenaridge-Instance-Id", b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -143,6 +190,11 @@
 	case <-r.Context().Done():
 		return
 	}
+	b.mu.Lock()
+	if b.state == "draining" {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	b.mu.Unlock()
 	w.Header().Set("Galenaridge-Server-Signature", "sig."+b.id+"."+id)
 	answer := fmt.Sprintf("%s %s %s by %s", r.Method, r.RequestURI, id, b.id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
--- a/review/_kit2/store.go
+++ b/review/_kit2/store.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"reflect"
 	"sort"
 	"strconv"
 	"strings"
@@ -117,6 +118,35 @@
 	s.record(item)
 }
 
+// putEntry writes the entry of a server, which changes only if more than its sequence does.
+func (s *store) putEntry(key string, entry map[string]any) {
+	s.mu.Lock()
+	item, found := s.items[key]
+	s.mu.Unlock()
+	if found {
+		var old map[string]any
+		if json.Unmarshal(item.Value, &old) == nil && equalBut(old, entry, "sequence") {
+			return
+		}
+	}
+	s.put(key, entry)
+}
+
+// equalBut reports whether two entries have the same fields but for one.
+func equalBut(old, entry map[string]any, field string) bool {
+	text, err := json.Marshal(entry)
+	if err != nil {
+		return false
+	}
+	var decoded map[string]any
+	if json.Unmarshal(text, &decoded) != nil {
+		return false
+	}
+	delete(old, field)
+	delete(decoded, field)
+	return reflect.DeepEqual(old, decoded)
+}
+
 func (s *store) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
