review: case 9, a tenant's quota is given out by each machine while the seeds are lost

Cause: a machine that was restarted and reaches none of its seeds takes itself for the whole fleet and admits the whole quota of each tenant.

The case shows it with real processes: nine machines lose power, six come back, their three seeds don't.

--- a/review/_kit2/fleet.go
+++ b/review/_kit2/fleet.go
@@ -22,8 +22,10 @@
 	name, zone, ip, front, ready, directory string
 	settings, storeAddress                  string
 	stdout                                  *os.File
-	command                                 *exec.Cmd
-	exited                                  chan struct{}
+	// restarted is set once the machine has started before.
+	restarted bool
+	command   *exec.Cmd
+	exited    chan struct{}
 }
 
 // fleet is the system with its platform.
@@ -33,6 +35,8 @@
 	store    *store
 	machines []*machine
 	basePort int
+	// seeds are the machines that the settings name as seeds; the first three if it is nil.
+	seeds []*machine
 	// bounds and limits go into the settings.
 	bounds, limits string
 }
@@ -82,7 +86,11 @@
 
 func (f *fleet) writeSettings(m *machine) error {
 	seeds := ""
-	for i, other := range f.machines[:min(3, len(f.machines))] {
+	named := f.seeds
+	if named == nil {
+		named = f.machines[:min(3, len(f.machines))]
+	}
+	for i, other := range named {
 		if i > 0 {
 			seeds += ", "
 		}
@@ -103,7 +111,7 @@
 listen: {front: %q, ready: %q, control: "%s:%d", directory: %q}
 internal_ports: [%d, %d]
 seeds: [%s]
-bootstrap: true
+bootstrap: %v
 limits: {%s}
 data_dir: null
 discovery: "platform"
@@ -111,7 +119,7 @@
 heartbeat_ms: 1500
 bounds: [%s]
 platform: {address: %q, form: "read", reads_per_s: 2000, history_s: 20, value_bytes: 1048576}
-`, m.name, m.ip, m.zone, m.front, m.ready, m.ip, f.basePort+3, m.directory, f.basePort+4, f.basePort+19, seeds, f.limits, f.bounds, storeAddress)
+`, m.name, m.ip, m.zone, m.front, m.ready, m.ip, f.basePort+3, m.directory, f.basePort+4, f.basePort+19, seeds, !m.restarted, f.limits, f.bounds, storeAddress)
 	return os.WriteFile(m.settings, []byte(text), 0o600)
 }
 
