--- a/review/_kit2/case10.go
+++ b/review/_kit2/case10.go
@@ -42,7 +42,7 @@
 	done := make(chan struct{})
 	var clients sync.WaitGroup
 	for _, m := range f.machines {
-		for client := range 3 {
+		for client := range 2 {
 			clients.Add(1)
 			go func() {
 				defer clients.Done()
@@ -50,7 +50,7 @@
 					select {
 					case <-done:
 						return
-					case <-time.After(80 * time.Millisecond):
+					case <-time.After(100 * time.Millisecond):
 					}
 					id := fmt.Sprintf("%s-%d-%d", m.name, client, i)
 					s := sentRequest{machine: m, after: time.Since(started)}
