--- a/review/_kit2/backend.go
+++ b/review/_kit2/backend.go
@@ -12,17 +12,14 @@
 
 // run is one request that a server began to work on.
 type run struct {
-	At        time.Time
-	Server    string
-	Service   string
-	ID        string
-	Method    string
-	Path      string
-	Body      string
-	Tenant    string
-	HasKey    bool
-	Deadline  string
-	FinishErr string
+	At      time.Time
+	Server  string
+	Service string
+	ID      string
+	Path    string
+	Tenant  string
+	// HasKey is set if the request came with a key in Authorization.
+	HasKey bool
 }
 
 // backend is a stand-in for a server of PROTOCOL.md that enters itself in the store.
@@ -31,16 +28,15 @@
 	capacity                   int
 	born                       int64
 	store                      *store
-	// work is how long a request takes; a "work" parameter of the query replaces it.
-	work time.Duration
-	// handle replaces the answer to a request if it is not nil and returns true.
-	handle func(w http.ResponseWriter, r *http.Request, body []byte) bool
+	// slots has a place for each request that the server works on.
+	slots chan struct{}
 	// onLate is called after a delayed write was done.
 	onLate func()
 
-	mu       sync.Mutex
-	runs     []run
-	running  int
+	mu   sync.Mutex
+	runs []run
+	// taken is the number of requests that the server works on or has queued.
+	taken    int
 	sequence int
 	state    string
 	// delay is how much later the next write is done.
@@ -56,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{id: id, service: service, zone: zone, address: listener.Addr().String(), capacity: capacity, born: time.Now().UnixMilli(), store: s, state: "ready", stop: make(chan struct{}), work: 20 * time.Millisecond}
+	b := &backend{id: id, service: service, zone: zone, address: listener.Addr().String(), capacity: capacity, born: time.Now().UnixMilli(), store: s, state: "ready", stop: make(chan struct{}), slots: make(chan struct{}, capacity)}
 	b.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
 	go func() { _ = b.server.Serve(listener) }()
 	b.beat()
@@ -64,8 +60,14 @@
 	return b, nil
 }
 
-// heartbeat is the time between two writes of an entry.
-const heartbeat = 1500 * time.Millisecond
+const (
+	// heartbeat is the time between two writes of an entry.
+	heartbeat = 1500 * time.Millisecond
+	// work is how long a server works on a request.
+	work = 20 * time.Millisecond
+	// queued is the number of requests that a server queues.
+	queued = 16
+)
 
 // restartBeats lets the next write follow after a heartbeat.
 func (b *backend) restartBeats() {
@@ -154,37 +156,31 @@
 		return
 	}
 	b.mu.Lock()
-	if b.running >= b.capacity+16 {
+	if b.taken >= b.capacity+queued {
 		b.mu.Unlock()
 		w.Header().Set("Galenaridge-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	b.running++
-	n := len(b.runs)
-	b.runs = append(b.runs, run{At: time.Now(), Server: b.id, Service: b.service, ID: id, Method: r.Method, Path: r.RequestURI, Tenant: r.Header.Get("Galenaridge-Tenant"), HasKey: strings.HasPrefix(r.Header.Get("Authorization"), "Bearer "), Deadline: r.Header.Get("Galenaridge-Deadline-Ms")})
+	b.taken++
 	b.mu.Unlock()
 	defer func() {
 		b.mu.Lock()
-		b.running--
+		b.taken--
 		b.mu.Unlock()
 	}()
-	body, err := io.ReadAll(r.Body)
-	b.mu.Lock()
-	b.runs[n].Body = string(body)
-	if err != nil {
-		b.runs[n].FinishErr = err.Error()
-	}
-	b.mu.Unlock()
-	if b.handle != nil && b.handle(w, r, body) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	work := b.work
-	if text := r.URL.Query().Get("work"); text != "" {
-		if d, err := time.ParseDuration(text); err == nil {
-			work = d
-		}
+	select {
+	case b.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
 	}
+	defer func() { <-b.slots }()
+	b.mu.Lock()
+	b.runs = append(b.runs, run{At: time.Now(), Server: b.id, Service: b.service, ID: id, Path: r.RequestURI, Tenant: r.Header.Get("Galenaridge-Tenant"), HasKey: strings.HasPrefix(r.Header.Get("Authorization"), "Bearer ")})
+	b.mu.Unlock()
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
--- a/review/_kit2/fleet.go
+++ b/review/_kit2/fleet.go
@@ -21,7 +21,6 @@
 type machine struct {
 	name, zone, ip, front, ready, directory string
 	settings, storeAddress                  string
-	stdout                                  *os.File
 	// restarted is set once the machine has started before.
 	restarted bool
 	command   *exec.Cmd
@@ -135,9 +134,6 @@
 	m.command = exec.Command(f.program, "gateway")
 	m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "GALENARIDGE_CONFIG=" + m.settings}
 	m.command.Stdout, m.command.Stderr = output, output
-	if m.stdout != nil {
-		m.command.Stdout = m.stdout
-	}
 	if err := m.command.Start(); err != nil {
 		return err
 	}
--- a/review/_kit2/proxy.go
+++ b/review/_kit2/proxy.go
@@ -12,7 +12,6 @@
 const (
 	pass proxyMode = iota
 	reset
-	silent
 )
 
 // storeProxy passes the calls of one machine on to the store, or turns them away.
@@ -86,13 +85,9 @@
 		if err != nil {
 			return
 		}
-		switch p.mode() {
-		case reset:
+		if p.mode() == reset {
 			resetConn(c)
 			return
-		case silent:
-			_, _ = io.Copy(io.Discard, c)
-			return
 		}
 		if _, err := server.Write(buffer[:n]); err != nil {
 			return
--- a/review/_kit2/store.go
+++ b/review/_kit2/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"net"
 	"net/http"
 	"reflect"
@@ -31,12 +30,6 @@
 	revision uint64
 	changed  chan struct{}
 	listener net.Listener
-	// era is the value of the header Store-Era; without one if it is zero.
-	era uint64
-	// down is set while all calls fail.
-	down bool
-	// oldest is the revision before which there is no history.
-	oldest uint64
 }
 
 func startStore(address string) (*store, error) {
@@ -49,56 +42,10 @@
 	mux.HandleFunc("GET /v1/kv-key", s.serveKey)
 	mux.HandleFunc("GET /v1/kv-range", s.serveRange)
 	mux.HandleFunc("GET /v1/kv-watch", s.serveWatch)
-	go func() { _ = http.Serve(listener, s.withEra(mux)) }()
+	go func() { _ = http.Serve(listener, mux) }()
 	return s, nil
 }
 
-// withEra adds the era to all answers, and resets the connections of calls while the store is
-// down.
-func (s *store) withEra(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		down, era := s.down, s.era
-		s.mu.Unlock()
-		if down {
-			panic(http.ErrAbortHandler)
-		}
-		if era > 0 {
-			w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// backup is a copy of the store.
-type backup struct {
-	items    map[string]storeItem
-	revision uint64
-}
-
-func (s *store) backup() backup {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return backup{maps.Clone(s.items), s.revision}
-}
-
-// setDown lets all calls fail, also those that wait.
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// restore returns to a backup, in a new era.
-func (s *store) restore(b backup) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.items, s.revision, s.history, s.oldest = maps.Clone(b.items), b.revision, nil, b.revision
-	s.era++
-}
-
 func (s *store) address() string { return s.listener.Addr().String() }
 
 // put writes an entry. Its return is the acknowledgement.
@@ -212,16 +159,8 @@
 				events = append(events, item)
 			}
 		}
-		revision, changed, down := s.revision, s.changed, s.down
-		gone := after > revision || after < s.oldest
+		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if down {
-			panic(http.ErrAbortHandler)
-		}
-		if gone {
-			w.WriteHeader(http.StatusGone)
-			return
-		}
 		if len(events) > 0 {
 			reply(w, map[string]any{"events": events, "current_rev": revision})
 			return
