gateway: let each instance read the store whose copy nobody confirms

The bound is 2 s.

Rank 3 fell back 4.0 s after the store had reset its readers, in place of 1.65 s: heartbeats stated the age as of the last update of the sender, and instances took ages over from each other, each time without the time that the message was under way. - A reader that lost the store forgot it when it stopped reading, took itself for the reader again, and the follower merged both requests and never reported the loss again.

Change, one rule for both cases: - Only heartbeats of instances that read the store themselves confirm the copies of others, with the time since their last read (read_age_ms), computed when the heartbeat is sent. - Each instance whose copy or configuration is not confirmed for 1.25 s, and up to 0.3 s more by its rank, reads the store, at any rank. It stops when an instance that ranks before it reads the store. While it reads, it sends heartbeats as often as an active one. - The follower reports each failure, and backup readers call a store that refuses them a third as often as the reader.

So an instance that the store serves has a copy of at most 1.55 s, a tick and a call, whoever else is lost, frozen, cut off or refused.

Ruled out: lost messages of the refused readers. In each failure domain the next one or two in rank called the store within 0.02 s of the first refusal.

While releases are mixed, an instance of this one whose failure domain is read by one of an earlier release reads the store itself.

--- a/core/follow/change_fetcher.go
+++ b/core/follow/change_fetcher.go
@@ -71,17 +71,19 @@
 		c.offerListing(offer{kind: Servers, peer: request.peer, generation: next})
 		return
 	}
+	took := c.options.Clock.Now().Sub(startedAt)
 	c.options.Sink.ReportFetch(FetchReport{
 		Kind:          Changes,
 		Peer:          request.peer,
 		Known:         PositionGeneration(request.known),
 		Fetched:       PositionGeneration(listing.Position),
-		Duration:      c.options.Clock.Now().Sub(startedAt),
+		Duration:      took,
 		ReceivedBytes: c.options.Peers.ReceivedBytes() - receivedBefore,
 		Err:           err,
 	})
 	if err == nil {
-		listing.Since = request.known
+		// The peer computed the age when it began to respond, at an unknown time of the call.
+		listing.Since, listing.Age = request.known, listing.Age+took
 		c.options.Sink.ApplyListing(listing, false)
 	}
 }
--- a/core/follow/document.go
+++ b/core/follow/document.go
@@ -10,7 +10,7 @@
 	"galenaridge/core/fleet"
 )
 
-//go:generate ../../.tools/enumer -type=Kind -transform=kebab -text -yaml=false -output=enums_enumer.go
+//go:generate ../../.tools/enumer -type=Kind,Mode -transform=kebab -text -yaml=false -output=enums_enumer.go
 
 // Kind is what an instance fetches from another one.
 type Kind uint8
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -155,7 +156,7 @@
 	f, source, target := startFollower(t)
 	time.Sleep(20 * time.Millisecond)
 	source.set(func(s *fakeStore) { require.Zero(t, s.lists, "nothing is read before the follower is enabled") })
-	f.SetEnabled(true)
+	f.SetMode(Reader)
 	target.eventually(t, "first listing", func(s *recordingSink) bool { return len(s.listed) == 1 && !s.listed[0] })
 	source.set(func(s *fakeStore) {
 		s.changes, s.position = []Change{{Server: &registry.Server{}}}, fleet.Position{Revision: 11}
@@ -177,7 +178,7 @@
 		s.watchTakes = watchWait + 600*time.Millisecond
 		s.changes, s.position = []Change{{Server: &registry.Server{}}}, fleet.Position{Revision: 11}
 	})
-	f.SetEnabled(true)
+	f.SetMode(Reader)
 	target.eventually(t, "the change", func(s *recordingSink) bool { return s.changed == 1 && s.lost == 0 })
 }
 
@@ -185,14 +186,14 @@
 // the store was unavailable: the listing must be marked as one after an outage.
 func TestFollowerAfterOutage(t *testing.T) {
 	f, source, target := startFollower(t)
-	f.SetEnabled(true)
+	f.SetMode(Reader)
 	target.eventually(t, "first listing", func(s *recordingSink) bool { return len(s.listed) == 1 })
 	failure := errors.New("silent")
 	source.set(func(s *fakeStore) { s.watchErr, s.listErr = failure, failure })
 	time.Sleep(outageAfter + 500*time.Millisecond)
 	source.set(func(s *fakeStore) { s.watchErr, s.listErr = nil, nil })
 	target.eventually(t, "a listing marked as one after an outage", func(s *recordingSink) bool { return len(s.listed) >= 2 && s.listed[1] })
-	f.SetEnabled(false)
+	f.SetMode(Off)
 	time.Sleep(50 * time.Millisecond)
 	var calls int
 	source.set(func(s *fakeStore) { calls = s.lists + s.watches })
@@ -268,7 +269,7 @@
 // copy from before: its revisions were issued again for other content.
 func TestFollowerAfterRestore(t *testing.T) {
 	f, source, target := startFollower(t)
-	f.SetEnabled(true)
+	f.SetMode(Reader)
 	target.eventually(t, "first listing", func(s *recordingSink) bool { return len(s.listed) == 1 })
 	source.set(func(s *fakeStore) {
 		s.changes, s.position = []Change{{Server: &registry.Server{}}}, fleet.Position{Era: 1, Revision: 11}
@@ -280,3 +281,31 @@
 	})
 	target.eventually(t, "a change in the new era", func(s *recordingSink) bool { return s.changed == 1 })
 }
+
+// TestFailuresInEachMode guards against a store that all instances of a fleet call often while
+// it is down, and against a loss that is reported once and then forgotten.
+func TestFailuresInEachMode(t *testing.T) {
+	tests := []struct {
+		name string
+		mode Mode
+		// calls is the number of failed calls within 2.9 s.
+		calls int
+	}{
+		{"reader", Reader, 5},
+		{"backup", Backup, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source, target := &fakeStore{listErr: errors.New("503")}, &recordingSink{}
+				f := New(Options{Store: source, Sink: target, Clock: realTimer{clockwork.NewRealClock()}})
+				ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+				defer cancel()
+				f.SetMode(test.mode)
+				f.Run(ctx)
+				require.Equal(t, test.calls, source.lists)
+				require.Equal(t, test.calls, target.lost, "each failure is reported")
+			})
+		})
+	}
+}
--- a/core/follow/follower.go
+++ b/core/follow/follower.go
@@ -19,15 +19,29 @@
 	// batchDelay is the time between a change and the next watch, so that changes
 	// made shortly after each other are read by one call.
 	batchDelay = 60 * time.Millisecond
-	// minRetryBackoff is the time between the first failed call to the store and the
-	// next one. It doubles with each further failure, up to maxRetryBackoff.
-	minRetryBackoff = 200 * time.Millisecond
-	maxRetryBackoff = 800 * time.Millisecond
+	// readerBackoff and backupBackoff are the times between the first failed call to the store
+	// and the next one. They double with each further failure, up to four times as long.
+	readerBackoff = 200 * time.Millisecond
+	backupBackoff = 600 * time.Millisecond
 	// outageAfter is how long the store must have been unavailable before the entries of
 	// live servers may have lapsed.
 	outageAfter = time.Second
 )
 
+// Mode is how a Follower reads the store.
+type Mode uint8
+
+const (
+	// Off means that the store is not read.
+	Off Mode = iota
+	// Reader means that other instances depend on this one, so that calls that failed are soon
+	// repeated.
+	Reader
+	// Backup means that the instance reads the store because nothing else confirms its copy.
+	// There may be many such instances, and each call costs.
+	Backup
+)
+
 // Timer is a clock that can also wait.
 type Timer interface {
 	fleet.Clock
@@ -43,12 +57,12 @@
 }
 
 // Follower reads the store and passes its content to a Sink. Only Run uses the fields
-// from enabled on.
+// from mode on.
 type Follower struct {
 	options        Options
-	enableRequests chan bool
+	modeRequests   chan Mode
 	configRequests chan struct{}
-	enabled        bool
+	mode           Mode
 	// listed is set if changes since position suffice to bring the copy up to date.
 	listed   bool
 	position fleet.Position
@@ -60,27 +74,27 @@
 
 // New returns a follower that does not read the store yet.
 func New(options Options) *Follower {
-	return &Follower{options: options, enableRequests: make(chan bool, 1), configRequests: make(chan struct{}, 1)}
+	return &Follower{options: options, modeRequests: make(chan Mode, 1), configRequests: make(chan struct{}, 1)}
 }
 
-// SetEnabled starts or stops reading the store. It does not block; only the last of
-// several calls has an effect.
-func (f *Follower) SetEnabled(on bool) {
+// SetMode starts or stops reading the store. It does not block; only the last of several
+// calls has an effect.
+func (f *Follower) SetMode(mode Mode) {
 	for {
 		select {
-		case f.enableRequests <- on:
+		case f.modeRequests <- mode:
 			return
 		default:
 		}
 		select {
-		case <-f.enableRequests:
+		case <-f.modeRequests:
 		default:
 		}
 	}
 }
 
-// ReadConfiguration reads the configuration once, while the follower is not enabled. It
-// does not block.
+// ReadConfiguration reads the configuration once, while the follower does not read the store.
+// It does not block.
 func (f *Follower) ReadConfiguration() {
 	select {
 	case f.configRequests <- struct{}{}:
@@ -91,7 +105,7 @@
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !f.awaitEnabled(ctx) {
+		if !f.awaitMode(ctx) {
 			return
 		}
 		if err := f.readStore(ctx); err != nil {
@@ -100,22 +114,21 @@
 	}
 }
 
-// awaitEnabled waits until the follower is enabled. It returns false if the context ends
-// first.
-func (f *Follower) awaitEnabled(ctx context.Context) bool {
+// awaitMode waits until the store is to be read. It returns false if the context ends first.
+func (f *Follower) awaitMode(ctx context.Context) bool {
 	for {
-		if f.enabled {
+		if f.mode != Off {
 			select {
-			case f.enabled = <-f.enableRequests:
+			case f.mode = <-f.modeRequests:
 			default:
 				return true
 			}
 			continue
 		}
 		f.listed = false
-		f.failingSince = time.Time{}
+		f.failingSince, f.failures = time.Time{}, 0
 		select {
-		case f.enabled = <-f.enableRequests:
+		case f.mode = <-f.modeRequests:
 		case <-f.configRequests:
 			f.readConfiguration(ctx)
 		case <-ctx.Done():
@@ -211,13 +224,17 @@
 	now := f.options.Clock.Now()
 	if f.failingSince.IsZero() {
 		f.failingSince = now
-		f.options.Sink.HandleStoreLost(err)
 	}
+	f.options.Sink.HandleStoreLost(err)
 	if now.Sub(f.failingSince) > outageAfter {
 		// Changes made while the store was unavailable may have been dropped from its
 		// history. In a complete listing, servers whose entries lapsed are missing.
 		f.listed = false
 	}
 	f.failures++
-	_ = f.options.Clock.Sleep(ctx, min(minRetryBackoff<<min(f.failures-1, 2), maxRetryBackoff))
+	backoff := readerBackoff
+	if f.mode == Backup {
+		backoff = backupBackoff
+	}
+	_ = f.options.Clock.Sleep(ctx, backoff<<min(f.failures-1, 2))
 }
--- a/core/follow/source.go
+++ b/core/follow/source.go
@@ -100,8 +100,8 @@
 	// RefuseConfiguration receives the reason why a configuration that was read by
 	// itself cannot be used.
 	RefuseConfiguration(refused *ConfigError)
-	// HandleStoreLost is called at the first failure, HandleStoreRegained at the next
-	// success, with the time in between.
+	// HandleStoreLost is called at each failure, HandleStoreRegained at the next success, with
+	// the time since the first failure.
 	HandleStoreLost(err error)
 	HandleStoreRegained(after time.Duration)
 }
--- a/core/gateway/announcement_test.go
+++ b/core/gateway/announcement_test.go
@@ -98,7 +98,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			l, r, pass := newIdleLoop(t, 12)
-			require.Greater(t, l.View().WorkingSet().Rank(), maxLateReaderRank)
+			require.GreaterOrEqual(t, l.View().WorkingSet().Rank(), int(maxRankDelay/rankDelay), "an instance that waits longest")
 			for i := range 15 {
 				revision := fleet.Revision(12 + 2*i)
 				pass(tickInterval, revision, 3)
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -34,10 +34,11 @@
 		s.replaceCopy(now, listing, outage)
 	}
 	s.recordProgress(now)
-	s.confirmCopy(now.Add(-listing.Age))
 	if listing.Routes != nil || listing.Refused != nil {
 		// Only listings of the store include the configuration.
-		s.confirmConfig(now, 0)
+		s.recordRead(now)
+	} else {
+		s.confirmCopy(now, listing.Age)
 	}
 	s.updateRole(now)
 }
@@ -82,11 +83,8 @@
 			return
 		}
 		s.recordProgress(now)
-		s.confirmCopy(now)
-		s.confirmConfig(now, 0)
-		if len(batch.Changes) > 0 {
-			s.updateRole(now)
-		}
+		s.recordRead(now)
+		s.updateRole(now)
 	})
 }
 
@@ -158,26 +156,27 @@
 	}
 }
 
-// confirmCopy records that the copy of the store was current at a time.
-func (s *state) confirmCopy(at time.Time) {
-	if at.After(s.confirmedAt) {
+// confirmCopy records that the copy of the store was current some time ago.
+func (s *state) confirmCopy(now time.Time, age time.Duration) {
+	if at := now.Add(-age); at.After(s.confirmedAt) && !s.hasResumed(now) {
 		s.confirmedAt = at
 	}
 }
 
-// confirmConfig records that the configuration was current some time ago. What arrives
-// right after the process was frozen has waited in the buffers of the machine for an
-// unknown time, and confirms nothing.
+// confirmConfig records that the configuration was current some time ago.
 func (s *state) confirmConfig(now time.Time, age time.Duration) {
-	s.recordResume(now)
-	if !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < resumeDelay {
-		return
-	}
-	if at := now.Add(-age); at.After(s.configConfirmedAt) {
+	if at := now.Add(-age); at.After(s.configConfirmedAt) && !s.hasResumed(now) {
 		s.configConfirmedAt = at
 	}
 }
 
+// hasResumed reports whether the process was frozen right before. What arrives then has waited
+// in the buffers of the machine for an unknown time, and confirms nothing.
+func (s *state) hasResumed(now time.Time) bool {
+	s.recordResume(now)
+	return !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < resumeDelay
+}
+
 // recordResume sets resumedAt if the control goroutine has not run for freezeGap.
 func (s *state) recordResume(now time.Time) {
 	if now.Sub(s.activeAt) > freezeGap {
@@ -185,21 +184,6 @@
 	}
 }
 
-// HandleStoreLost implements follow.Sink.
-func (l *Loop) HandleStoreLost(err error) {
-	l.options.Events.StoreLost(err)
-	l.submit(context.Background(), func(s *state) {
-		s.storeLost = true
-		s.updateRole(s.options.Clock.Now())
-	})
-}
-
-// HandleStoreRegained implements follow.Sink.
-func (l *Loop) HandleStoreRegained(after time.Duration) {
-	l.options.Events.StoreRegained(after)
-	l.submit(context.Background(), func(s *state) { s.storeLost = false })
-}
-
 // ReportFetch implements follow.PeerSink.
 func (l *Loop) ReportFetch(report follow.FetchReport) { l.options.Events.CopyFetched(report) }
 
@@ -216,7 +200,7 @@
 		if reply != "" {
 			s.options.Peers.SendHeartbeat(s.workingSet.ContactsReply(now), []fleet.Address{reply})
 		}
-		if joined || heartbeat.Leaving || heartbeat.StoreUnreachable && s.workingSet.View().Rank() <= maxLateReaderRank {
+		if joined || heartbeat.Leaving || heartbeat.StoreUnreachable && s.workingSet.View().Rank() <= maxPromptRank {
 			s.updateRole(now)
 		}
 	})
--- a/core/gateway/config_age_test.go
+++ b/core/gateway/config_age_test.go
@@ -16,7 +16,7 @@
 // was confirmed some time ago.
 func configHeartbeat(version fleet.Version, age time.Duration) workset.Heartbeat {
 	heartbeat := peerHeartbeat("a-2", "a", 10, 0)
-	heartbeat.Version, heartbeat.ConfigAge = version, age
+	heartbeat.Version, heartbeat.ConfigAge, heartbeat.ReadAge = version, age, age
 	return heartbeat
 }
 
@@ -44,6 +44,11 @@
 		}, time.Second},
 		{"peer with the same version", 0, func(l *Loop) { l.HandleHeartbeat(configHeartbeat(3, 200*time.Millisecond)) }, 200 * time.Millisecond},
 		{"peer with the same version that is behind", 0, func(l *Loop) { l.HandleHeartbeat(configHeartbeat(3, 5*time.Second)) }, time.Second},
+		{"peer with the same version that does not read the store", 0, func(l *Loop) {
+			heartbeat := configHeartbeat(3, 0)
+			heartbeat.ReadsStore = false
+			l.HandleHeartbeat(heartbeat)
+		}, time.Second},
 		{"peer with a newer version", 0, func(l *Loop) { l.HandleHeartbeat(configHeartbeat(4, 0)) }, time.Second},
 		{"peer with an older version", 0, func(l *Loop) { l.HandleHeartbeat(configHeartbeat(2, 0)) }, time.Second},
 		{"heartbeat after a freeze", 9 * time.Second, func(l *Loop) { l.HandleHeartbeat(configHeartbeat(3, 0)) }, 10 * time.Second},
--- a/core/gateway/copy.go
+++ b/core/gateway/copy.go
@@ -108,11 +108,11 @@
 	s.peerHasCopy = true
 	s.announcedListing.update(now, follow.PositionGeneration(heartbeat.Position), follow.PositionGeneration(s.position))
 	s.announcedConfig.update(now, follow.VersionGeneration(heartbeat.Version), follow.VersionGeneration(s.routes.Version()))
-	if heartbeat.Position == s.position {
-		s.confirmCopy(now.Add(-heartbeat.CopyAge))
+	if heartbeat.ReadsStore && heartbeat.Position == s.position {
+		s.confirmCopy(now, heartbeat.ReadAge)
 	}
-	if heartbeat.Version == s.routes.Version() {
-		s.confirmConfig(now, heartbeat.ConfigAge)
+	if heartbeat.ReadsStore && heartbeat.Version == s.routes.Version() {
+		s.confirmConfig(now, heartbeat.ReadAge)
 	}
 	if heartbeat.Position.After(s.position) && s.mayFetch(now, heartbeat.Domain, &s.announcedListing) {
 		s.options.CopyFetcher.FetchChanges(heartbeat.PeerAddress, s.position)
@@ -135,7 +135,7 @@
 // the own one has been behind for remoteFetchDelay.
 func (s *state) mayFetch(now time.Time, domain fleet.Domain, announced *announcement) bool {
 	behind := announced.behindFor(now)
-	if s.followingStore && !s.storeLost && !s.position.IsZero() && now.Sub(s.confirmedAt) < overdueCopyAge && behind < overdueCopyAge {
+	if s.isReading() && !s.storeLost && !s.position.IsZero() && now.Sub(s.confirmedAt) < overdueCopyAge && behind < overdueCopyAge {
 		return false
 	}
 	return domain == s.options.Self.Domain || behind > remoteFetchDelay
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -79,14 +79,16 @@
 	// is the total number of requests at rateMeasuredAt.
 	requestRate     float64
 	requestsStarted int64
-	followingStore  bool
+	// reading is how this instance reads the store, and readAt when its latest call succeeded.
+	reading follow.Mode
+	readAt  time.Time
 	// roleChangedAt is when this instance took its role.
 	roleChangedAt time.Time
-	// followUntil is the time until which this instance reads the store although it is
-	// not an active store reader.
-	followUntil time.Time
-	tickCount   int
-	storeLost   bool
+	// readUntil is the time until which this instance reads the store at least.
+	readUntil time.Time
+	tickCount int
+	// storeLost is set if the latest call to the store failed.
+	storeLost bool
 	// unused holds the services with unused servers in the last report of unusedReportedAt.
 	unused           map[fleet.ServiceName]bool
 	unusedReportedAt time.Time
@@ -208,6 +210,7 @@
 		s.options.Events.MachineSlowChanged(s.lag.slow, s.lag.mean)
 	}
 	s.readLateConfig(now)
+	s.updateReading(now)
 	s.tickCount++
 	defer s.updateLimiter(now)
 	if s.workingSet.View().Role() == workset.Idle && s.loaded() && s.stopPlan == nil && s.tickCount%idleTicksPerUpdate != 0 {
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -35,10 +35,10 @@
 	Quota quota.Report
 }
 
-// StoreFollower reads the store while it is enabled. Its methods must not block.
+// StoreFollower reads the store. Its methods must not block.
 type StoreFollower interface {
-	SetEnabled(on bool)
-	// ReadConfiguration reads the configuration once, if the follower is not enabled.
+	SetMode(mode follow.Mode)
+	// ReadConfiguration reads the configuration once, if the follower does not read the store.
 	ReadConfiguration()
 }
 
@@ -110,12 +110,9 @@
 	// idleTicksPerUpdate is the number of ticks between two computations of the working
 	// set on an idle instance.
 	idleTicksPerUpdate = 3
-	// maxEarlyReaderRank is the highest rank whose instances read the store as well once
-	// the copy is older than overdueCopyAge. maxLateReaderRank is the highest rank once
-	// the copy is older than overdueCopyAge by lateReaderDelay.
-	maxEarlyReaderRank = 1
-	maxLateReaderRank  = 3
-	lateReaderDelay    = 400 * time.Millisecond
+	// maxPromptRank is the highest rank whose instances compute their role at once when another
+	// one reports that the store refuses it, and call the store again soon after a failure.
+	maxPromptRank = 1
 	// contactsWait is how long a new instance waits for contacts before it reads the
 	// store. Callers may be waiting already, and a seed replies within about 10 ms.
 	contactsWait = 100 * time.Millisecond
@@ -126,8 +123,9 @@
 	// instance that is not the store reader then waits for the copy of the reader.
 	firstStartContactsWait = time.Second
 	firstStartCopyWait     = 2500 * time.Millisecond
-	// extraReadTime is how long an additional reader goes on reading the store.
-	extraReadTime = 10 * time.Second
+	// minReadTime is how long an instance goes on reading the store at least. Within this time,
+	// the heartbeats show whether one that ranks before it reads the store as well.
+	minReadTime = 2 * time.Second
 	// queueSize bounds the queued commands.
 	queueSize = 256
 	// freezeGap is the time without a tick after which the process counts as frozen in
@@ -135,6 +133,9 @@
 	// waited in the buffers are read within a few milliseconds.
 	freezeGap   = time.Second
 	resumeDelay = 250 * time.Millisecond
+	// resumePatience is how long an instance then waits for a heartbeat of the store reader
+	// before it reads the store itself.
+	resumePatience = 300 * time.Millisecond
 	// unknownAge is reported as the age of the copy while there is none.
 	unknownAge = time.Hour
 	// lapseGrace is how long a server that is missing after an outage or a restore of the
@@ -148,7 +149,8 @@
 	// by the byte.
 	remoteFetchDelay = 400 * time.Millisecond
 	// overdueCopyAge is the age of the copy from which on a store reader fetches the
-	// copies of peers as well, and other instances read the store.
+	// copies of peers as well, and other instances read the store. The reader confirms its
+	// copy each 0.8 s and says so each 0.2 s, so that one lost heartbeat is no reason.
 	overdueCopyAge = 1250 * time.Millisecond
 	// maxBatches and maxChanges bound the changes that are stored for peers.
 	// maxFetchedChanges bounds those in one call, which must fit into a short time also
@@ -160,13 +162,15 @@
 	// repeat it each second.
 	announcementTTL = 2500 * time.Millisecond
 	// configPatience is how long this instance waits for a newer configuration of peers
-	// before it reads it from the store, at most once in configReadInterval. Instances
-	// of higher rank wait longer, by rankDelay for each rank up to maxRankDelay, so that
-	// they can fetch it from those of lower rank.
+	// before it reads it from the store, at most once in configReadInterval.
 	configPatience     = 700 * time.Millisecond
 	configReadInterval = time.Second
-	rankDelay          = 10 * time.Millisecond
-	maxRankDelay       = 300 * time.Millisecond
+	// rankDelay is how much longer an instance waits for each instance that ranks before it,
+	// up to maxRankDelay, before it reads the store. A listing takes about 30 ms, and is then
+	// announced at once. overdueCopyAge, maxRankDelay, a tick and a call are together less than
+	// 2 s, in which a change must be in force everywhere.
+	rankDelay    = 25 * time.Millisecond
+	maxRankDelay = 300 * time.Millisecond
 	// listingPatience is how long this instance waits for changes of servers that peers
 	// have before it reads the store. It is extended by the rank too.
 	listingPatience = 900 * time.Millisecond
--- a/core/gateway/role.go
+++ b/core/gateway/role.go
@@ -30,12 +30,16 @@
 		Leaving:          s.stopPlan != nil,
 		Ready:            s.loaded() && s.stopPlan == nil,
 		Slow:             s.lag.slow,
-		StoreUnreachable: s.followingStore && s.storeLost,
+		StoreUnreachable: s.isReading() && s.storeLost,
 		RequestRate:      s.requestRate,
 		Version:          s.routes.Version(),
 		Position:         s.position,
-		CopyAge:          s.copyAge(now),
-		ConfigAge:        s.configAge(now),
+
+		CopyConfirmedAt:   s.confirmedAt,
+		ConfigConfirmedAt: s.configConfirmedAt,
+
+		ReadsStore: s.readsStore(now),
+		ReadAt:     s.readAt,
 	}) {
 		s.heartbeatUrgent = true
 	}
@@ -54,7 +58,7 @@
 	s.updateQuotas()
 	s.updateUnattended()
 	s.updateAffinity()
-	s.setFollowing(s.mustFollowStore(now))
+	s.updateReading(now)
 }
 
 // loaded reports whether this instance has a configuration and a server listing.
@@ -92,74 +96,6 @@
 	return !s.copyOldAt.IsZero() && now.Sub(s.copyOldAt) <= lapseGrace
 }
 
-// mustFollowStore reports whether this instance has to read the store. Normally only the
-// store reader of a failure domain reads it, and its heartbeats keep the copies of the
-// other instances there current. If the copy still becomes overdue, other active
-// instances and the next ones in rank read the store as well.
-func (s *state) mustFollowStore(now time.Time) bool {
-	if s.position.IsZero() {
-		return s.mustReadFirstListing(now)
-	}
-	view := s.workingSet.View()
-	if view.IsStoreReader() && view.Role() == workset.Active {
-		return true
-	}
-	age := s.copyAge(now)
-	rank := view.Rank()
-	early := rank <= maxEarlyReaderRank || view.Role() == workset.Active
-	overdue := age > overdueCopyAge && early || age > overdueCopyAge+lateReaderDelay && rank <= maxLateReaderRank
-	behind := s.announcedListing.behindFor(now) > listingPatience+s.rankDelay()
-	if view.IsStoreReader() || overdue || behind {
-		s.followUntil = now.Add(extraReadTime)
-	}
-	return now.Before(s.followUntil)
-}
-
-// rankDelay returns how much longer than the first in rank this instance waits before it
-// reads the store because peers do not deliver what they announced.
-func (s *state) rankDelay() time.Duration {
-	return min(time.Duration(s.workingSet.View().Rank())*rankDelay, maxRankDelay)
-}
-
-// readLateConfig reads the configuration from the store if peers have announced a newer one
-// and did not deliver it in time.
-func (s *state) readLateConfig(now time.Time) {
-	if s.followingStore && !s.storeLost || s.announcedConfig.behindFor(now) <= configPatience+s.rankDelay() || now.Sub(s.configReadAt) < configReadInterval {
-		return
-	}
-	s.configReadAt = now
-	s.options.StoreFollower.ReadConfiguration()
-}
-
-// mustReadFirstListing reports whether this instance, which has no copy yet, has to read
-// the store. If a peer has a copy, the instance waits for that copy, at most for
-// peerCopyWait, since a complete listing takes many calls. When the whole fleet starts
-// for the first time, one instance of each failure domain reads the store, and the
-// others wait for its copy, at most until firstStartCopyWait.
-func (s *state) mustReadFirstListing(now time.Time) bool {
-	uptime := now.Sub(s.startedAt)
-	switch {
-	case s.options.FirstStart:
-		return uptime >= firstStartCopyWait || uptime >= firstStartContactsWait && s.workingSet.View().IsStoreReader()
-	case s.peerHasCopy:
-		return uptime >= peerCopyWait
-	default:
-		return uptime >= contactsWait
-	}
-}
-
-// setFollowing starts or stops reading the store. During a planned stop, an
-// instance that reads the store continues to do so.
-func (s *state) setFollowing(on bool) {
-	on = on || s.stopPlan != nil && s.followingStore
-	if on == s.followingStore {
-		return
-	}
-	s.followingStore = on
-	s.storeLost = false
-	s.options.StoreFollower.SetEnabled(on)
-}
-
 // maxReportedServers bounds the servers in one report, which has to fit into one datagram.
 const maxReportedServers = 90
 
--- a/core/gateway/store_model_test.go
+++ b/core/gateway/store_model_test.go
@@ -242,8 +242,8 @@
 // Configuration implements follow.Store.
 func (p *modelProcess) Configuration(context.Context) (*route.Document, error) { return nil, nil }
 
-// SetEnabled implements StoreFollower.
-func (p *modelProcess) SetEnabled(on bool) { p.follower.SetEnabled(on) }
+// SetMode implements StoreFollower.
+func (p *modelProcess) SetMode(mode follow.Mode) { p.follower.SetMode(mode) }
 
 // storeModel is a store, the instances that follow it, and the messages between them.
 type storeModel struct {
@@ -378,7 +378,7 @@
 				p.deliver()
 			}
 		},
-		"enable":    func() { anyProcess().follower.SetEnabled(rapid.Bool().Draw(t, "on")) },
+		"enable":    func() { anyProcess().follower.SetMode(rapid.SampledFrom(follow.ModeValues()).Draw(t, "mode")) },
 		"heartbeat": func() { m.heartbeat(anyProcess(), anyProcess()) },
 		"receive": func() {
 			if len(m.messages) > 0 {
@@ -598,7 +598,7 @@
 // has.
 func (m *storeModel) finish(t *rapid.T) {
 	for _, p := range m.processes {
-		p.follower.SetEnabled(p.loop.state.followingStore)
+		p.follower.SetMode(p.loop.state.reading)
 	}
 	for round := range settleRounds {
 		if round == settleRounds/2 {
@@ -696,8 +696,10 @@
 }
 
 func modelHeartbeat(id fleet.InstanceID, s *state) workset.Heartbeat {
-	heartbeat := peerHeartbeat(id, "a", 0, s.copyAge(time.Now()))
-	heartbeat.Position = s.position
+	now := time.Now()
+	heartbeat := peerHeartbeat(id, "a", 0, s.copyAge(now))
+	heartbeat.Position, heartbeat.Version = s.position, s.routes.Version()
+	heartbeat.ReadsStore, heartbeat.ReadAge = s.readsStore(now), now.Sub(s.readAt)
 	return heartbeat
 }
 
--- a/core/gateway/support_test.go
+++ b/core/gateway/support_test.go
@@ -49,8 +49,8 @@
 		r.reported[address] = append(r.reported[address], report.ServerReports...)
 	}
 }
-func (r *recorder) SetEnabled(on bool) { r.following = on }
-func (r *recorder) ReadConfiguration() { r.configReads++ }
+func (r *recorder) SetMode(mode follow.Mode) { r.following = mode != follow.Off }
+func (r *recorder) ReadConfiguration()       { r.configReads++ }
 func (r *recorder) FetchChanges(peer fleet.Address, _ fleet.Position) {
 	r.fetched = append(r.fetched, peer)
 }
@@ -125,6 +125,8 @@
 		Cores:         1,
 		Position:      fleet.Position{Revision: revision},
 		CopyAge:       age,
+		ReadsStore:    true,
+		ReadAge:       age,
 	}
 }
 
--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -32,6 +32,10 @@
 	announcedAt      time.Time
 	remoteSentAt     time.Time
 	remoteIdleSentAt time.Time
+	// copyConfirmedAt, configConfirmedAt and readAt are those of the last LocalStatus.
+	copyConfirmedAt   time.Time
+	configConfirmedAt time.Time
+	readAt            time.Time
 }
 
 // New returns a state that knows only this instance.
@@ -42,7 +46,8 @@
 }
 
 // LocalStatus is the part of the own heartbeat that changes while the process runs.
-// Its fields have the same meaning as in Heartbeat.
+// Its fields have the same meaning as in Heartbeat, with times in place of ages, which are
+// computed when a heartbeat is sent.
 type LocalStatus struct {
 	Leaving          bool
 	Ready            bool
@@ -51,22 +56,46 @@
 	RequestRate      float64
 	Version          fleet.Version
 	Position         fleet.Position
-	CopyAge          time.Duration
-	ConfigAge        time.Duration
+	// CopyConfirmedAt and ConfigConfirmedAt are zero if there is nothing to confirm.
+	CopyConfirmedAt   time.Time
+	ConfigConfirmedAt time.Time
+	ReadsStore        bool
+	ReadAt            time.Time
 }
 
 // SetLocalStatus sets the status of this instance. It reports whether a heartbeat
 // should be sent at once.
 func (s *State) SetLocalStatus(c LocalStatus) bool {
 	urgent := c.Leaving != s.self.Leaving || c.Ready != s.self.Ready || c.Slow != s.self.Slow || c.StoreUnreachable != s.self.StoreUnreachable
-	urgent = urgent || s.view.role == Active && (c.Position != s.self.Position || c.Version != s.self.Version)
+	urgent = urgent || c.ReadsStore != s.self.ReadsStore
+	urgent = urgent || (s.view.role == Active || c.ReadsStore) && (c.Position != s.self.Position || c.Version != s.self.Version)
 	s.self.Leaving, s.self.Ready, s.self.Slow = c.Leaving, c.Ready, c.Slow
 	s.self.StoreUnreachable = c.StoreUnreachable
-	s.self.RequestRate, s.self.Version = c.RequestRate, c.Version
-	s.self.Position, s.self.CopyAge, s.self.ConfigAge = c.Position, c.CopyAge, c.ConfigAge
+	s.self.RequestRate, s.self.Version, s.self.Position = c.RequestRate, c.Version, c.Position
+	s.self.ReadsStore = c.ReadsStore
+	s.copyConfirmedAt, s.configConfirmedAt, s.readAt = c.CopyConfirmedAt, c.ConfigConfirmedAt, c.ReadAt
 	return urgent
 }
 
+// heartbeat returns the own heartbeat with the ages as of now.
+func (s *State) heartbeat(now time.Time) Heartbeat {
+	heartbeat := s.self
+	heartbeat.Uptime = now.Sub(s.options.Start)
+	heartbeat.CopyAge, heartbeat.ConfigAge = ageOf(now, s.copyConfirmedAt), ageOf(now, s.configConfirmedAt)
+	if heartbeat.ReadsStore {
+		heartbeat.ReadAge = now.Sub(s.readAt)
+	}
+	return heartbeat
+}
+
+// ageOf returns the time since a confirmation, unknownAge if there was none.
+func ageOf(now, confirmedAt time.Time) time.Duration {
+	if confirmedAt.IsZero() {
+		return unknownAge
+	}
+	return now.Sub(confirmedAt)
+}
+
 // HandleHeartbeat records a heartbeat. It returns the peer address of the sender if
 // the sender requests contacts, and whether the sender was unknown or not live
 // before.
@@ -168,14 +197,17 @@
 	if inUse {
 		localInterval, remoteInterval = inUseInterval, inUseRemoteInterval
 	}
+	if s.self.ReadsStore {
+		// The copies of the other instances there depend on these heartbeats.
+		localInterval = inUseInterval
+	}
 	var due []OutgoingHeartbeat
 	send := func(sentAt *time.Time, wait, interval time.Duration, requestsContacts bool, recipients func() []fleet.Address) {
 		if now.Sub(*sentAt) < wait {
 			return
 		}
 		*sentAt = now
-		heartbeat := s.self
-		heartbeat.Uptime = now.Sub(s.options.Start)
+		heartbeat := s.heartbeat(now)
 		heartbeat.Interval, heartbeat.RequestsContacts = interval, requestsContacts
 		due = append(due, OutgoingHeartbeat{Heartbeat: heartbeat, Recipients: recipients()})
 	}
@@ -273,9 +305,8 @@
 // ContactsReply returns the heartbeat that replies to a request for contacts. It
 // lists up to maxContacts live peers.
 func (s *State) ContactsReply(now time.Time) Heartbeat {
-	heartbeat := s.self
+	heartbeat := s.heartbeat(now)
 	heartbeat.Interval = idleInterval
-	heartbeat.Uptime = now.Sub(s.options.Start)
 	for _, p := range s.peers {
 		if len(heartbeat.Contacts) >= maxContacts {
 			break
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -42,6 +42,11 @@
 	DomainHeard int
 	// ConfigAge is the time since the configuration was last confirmed to be current.
 	ConfigAge time.Duration
+	// ReadsStore is set if the sender itself reads the store, and ReadAge is then the time since
+	// its last read. Only these confirm the copies of others: ages that instances take over from
+	// each other lose the time that each message was under way, and grow more slowly than time.
+	ReadsStore bool
+	ReadAge    time.Duration
 	// Contacts are peer addresses of other instances, for a receiver that requested
 	// them.
 	Contacts []fleet.Address
@@ -91,6 +96,8 @@
 	contactMargin = 500 * time.Millisecond
 	// reportMemory is how long an instance that sent reports is expected to send more.
 	reportMemory = 10 * time.Second
+	// unknownAge is reported as the age of a copy while there is none.
+	unknownAge = time.Hour
 	// forgetAfter is how long heartbeats are still sent to a silent instance, so that
 	// it finds its peers when it recovers.
 	forgetAfter = 90 * time.Second
@@ -114,9 +121,9 @@
 	// before its instance ranks behind the others. The limit is relative, since all
 	// copies age alike while the store is down.
 	maxCopyLag = 2500 * time.Millisecond
-	// maxReaderCandidates is the number of ranks from which the reader of the store is
-	// chosen. It bounds the number of instances that call the store while it is down.
-	maxReaderCandidates = 5
+	// maxReadAge is how old the last read of an instance may be for others to rely on it to
+	// read the store.
+	maxReadAge = 1250 * time.Millisecond
 	// requestMegabits is the traffic of a request over the link of its instance, in
 	// megabits: about 8 KB, with both directions to the caller and to the server.
 	requestMegabits = 0.064
--- a/core/workset/order.go
+++ b/core/workset/order.go
@@ -46,6 +46,7 @@
 			}
 			heartbeat := p.heartbeat
 			heartbeat.CopyAge += since
+			heartbeat.ReadAge += since
 			add(heartbeat, heartbeat.Uptime+since)
 		}
 	}
@@ -57,7 +58,7 @@
 		s.countInstances(now, v)
 		return v
 	}
-	add(s.self, uptime)
+	add(s.heartbeat(now), uptime)
 	for domain, candidates := range byDomain {
 		markStaleCopies(candidates, freshestAge)
 		s.rankDomain(v, domain, candidates, rates[domain])
@@ -93,14 +94,17 @@
 		)
 	})
 	coresNeeded := rate / ratePerCore
-	readerFound := false
+	readerFound, selfFound := false, false
 	for i, c := range candidates {
 		active := i == 0 || coresNeeded > 0
 		self := c.heartbeat.Member == s.self.Member
 		if self {
-			v.rank = i
+			v.rank, selfFound = i, true
 		}
-		if !readerFound && i < maxReaderCandidates && !c.heartbeat.StoreUnreachable {
+		if domain == s.self.Domain && !selfFound && c.heartbeat.ReadsStore && c.heartbeat.ReadAge <= maxReadAge {
+			v.readAhead = true
+		}
+		if !readerFound && !c.heartbeat.StoreUnreachable {
 			readerFound = true
 			v.storeReader = v.storeReader || self
 		}
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -33,6 +33,10 @@
 	states := make([]*State, 0, len(heartbeats))
 	for _, self := range heartbeats {
 		s := New(Options{Self: self, Start: now.Add(-time.Minute)})
+		s.SetLocalStatus(LocalStatus{
+			Leaving: self.Leaving, Ready: self.Ready, Slow: self.Slow, StoreUnreachable: self.StoreUnreachable, RequestRate: self.RequestRate,
+			Version: self.Version, Position: self.Position, CopyConfirmedAt: now.Add(-self.CopyAge), ConfigConfirmedAt: now.Add(-self.ConfigAge),
+		})
 		for _, other := range heartbeats {
 			s.HandleHeartbeat(now, other)
 		}
@@ -420,3 +424,86 @@
 		}
 	}
 }
+
+// TestHeartbeatAges guards against a copy that seems younger than it is, because a heartbeat
+// states the ages as of the last change of the local status.
+func TestHeartbeatAges(t *testing.T) {
+	s := New(Options{Self: newHeartbeat("x", "a"), Start: startTime.Add(-time.Minute)})
+	confirmedAt := startTime.Add(-100 * time.Millisecond)
+	s.SetLocalStatus(LocalStatus{Ready: true, CopyConfirmedAt: confirmedAt, ConfigConfirmedAt: confirmedAt, ReadsStore: true, ReadAt: confirmedAt})
+	sentAt := startTime.Add(250 * time.Millisecond)
+	tests := []struct {
+		name      string
+		heartbeat Heartbeat
+	}{
+		{"regular", s.DueHeartbeats(sentAt, true)[0].Heartbeat},
+		{"reply to a request for contacts", s.ContactsReply(sentAt)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, 350*time.Millisecond, test.heartbeat.CopyAge)
+			require.Equal(t, 350*time.Millisecond, test.heartbeat.ConfigAge)
+			require.Equal(t, 350*time.Millisecond, test.heartbeat.ReadAge)
+		})
+	}
+}
+
+// TestReadAhead guards against several instances of a failure domain that go on reading the
+// store, and against none that does because all rely on one that no longer reads it.
+func TestReadAhead(t *testing.T) {
+	tests := []struct {
+		name  string
+		reads []bool
+		age   time.Duration
+		want  []bool
+	}{
+		{"none", []bool{false, false, false}, 0, []bool{false, false, false}},
+		{"the first one", []bool{true, false, false}, 0, []bool{false, true, true}},
+		{"the second one", []bool{false, true, false}, 0, []bool{false, false, true}},
+		{"all", []bool{true, true, true}, 0, []bool{false, true, true}},
+		{"the first one, a while ago", []bool{true, false, false}, maxReadAge + time.Millisecond, []bool{false, false, false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var heartbeats []Heartbeat
+			for i, reads := range test.reads {
+				heartbeat := newHeartbeat(fmt.Sprintf("i%d", i), "a")
+				heartbeat.Cores = float64(3 - i)
+				heartbeat.ReadsStore, heartbeat.ReadAge = reads, test.age
+				heartbeats = append(heartbeats, heartbeat)
+			}
+			var got []bool
+			for _, s := range newFleet(startTime, heartbeats...) {
+				got = append(got, s.View().IsReadAhead())
+			}
+			require.Equal(t, test.want, got)
+		})
+	}
+}
+
+// TestReaderInterval guards against copies that nobody confirms in time: an idle instance that
+// reads the store says so as often as an active one.
+func TestReaderInterval(t *testing.T) {
+	tests := []struct {
+		name  string
+		reads bool
+		want  time.Duration
+	}{
+		{"does not read the store", false, idleInterval},
+		{"reads the store", true, inUseInterval},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			first, second := newHeartbeat("y", "a"), newHeartbeat("z", "a")
+			first.Cores, second.Cores = 3, 2
+			idle := newFleet(startTime, newHeartbeat("x", "a"), first, second)[0]
+			require.Equal(t, Idle, idle.View().Role())
+			idle.SetLocalStatus(LocalStatus{Ready: true, ReadsStore: test.reads, ReadAt: startTime})
+			for _, outgoing := range idle.DueHeartbeats(startTime.Add(time.Minute), false) {
+				if slices.Contains(outgoing.Recipients, first.PeerAddress) {
+					require.Equal(t, test.want, outgoing.Heartbeat.Interval)
+				}
+			}
+		})
+	}
+}
--- a/io/peer/datagram/codec.go
+++ b/io/peer/datagram/codec.go
@@ -51,6 +51,9 @@
 	if heartbeat.ConfigAge.Milliseconds() > heartbeat.CopyAge.Milliseconds() {
 		message.ConfigAgeMs = uint64(heartbeat.ConfigAge.Milliseconds())
 	}
+	if heartbeat.ReadsStore {
+		message.ReadAgeMs = proto.Uint64(uint64(max(heartbeat.ReadAge.Milliseconds(), 0)))
+	}
 	for _, contact := range heartbeat.Contacts {
 		message.Contacts = append(message.Contacts, string(contact))
 	}
@@ -87,6 +90,8 @@
 	}
 	configAgeMs := max(message.GetConfigAgeMs(), message.GetAgeMs())
 	heartbeat.ConfigAge = time.Duration(min(configAgeMs, uint64(maxAge.Milliseconds()))) * time.Millisecond
+	heartbeat.ReadsStore = message.ReadAgeMs != nil
+	heartbeat.ReadAge = time.Duration(min(message.GetReadAgeMs(), uint64(maxAge.Milliseconds()))) * time.Millisecond
 	for _, contact := range message.GetContacts() {
 		heartbeat.Contacts = append(heartbeat.Contacts, fleet.Address(contact))
 	}
