quota: an instance that knows nobody does not take itself for the fleet

Cause: an instance counts the instances that it has heard of. After its start that is itself, which is more than half of one, so each of the six was connected, the only one that admits requests, and gave out the whole quota. The retry allowance was divided in the same way.

Change: - workset: the fleet is unknown from the start of a process until it has heard from another instance, unless its seeds name no other one, or 90 s have passed, after which silent instances are forgotten as well. - quota: such an instance is isolated and counts the fleet as 400 instances, so all of them together stay within a tenth of the overage. Callers get 503 not_ready at once, with a Retry-After of 0.2 to 1 s. - gateway: it has no part of the retry allowance. - It reads its settings each second in place of each 5 s, and requests contacts for 3 s from its first contact on, not only after its start.

The model let instances admit requests from the moment of their start. They cannot before they have a configuration, which they read from the store after 0.1 s or get from a peer, so the model now begins then; its bounds are as they were.

--- a/core/dispatch/quota.go
+++ b/core/dispatch/quota.go
@@ -26,6 +26,9 @@
 	decision := r.engine.options.Quotas.Admit(r.engine.options.Clock.Now(), customer)
 	if !decision.OK {
 		r.quotaRefusal = &decision
+		if decision.Reason == quota.FleetUnknown {
+			return refusalOf(refuseWithRetryAfter(exchange.NotReady, "the instance has not heard from others yet and cannot tell how much of the quota is left", decision.RetryAfter))
+		}
 		return refusalOf(refuseWithRetryAfter(exchange.QuotaExceeded, "the customer has used its quota", decision.RetryAfter))
 	}
 	r.countedFor = customer
--- a/core/dispatch/quota_test.go
+++ b/core/dispatch/quota_test.go
@@ -17,6 +17,7 @@
 type countingQuotas struct {
 	mu       sync.Mutex
 	room     int
+	reason   quota.Reason
 	admitted []fleet.Customer
 	returned []fleet.Customer
 }
@@ -25,7 +26,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.room == 0 {
-		return quota.Decision{Reason: quota.LimitReached, RetryAfter: 700 * time.Millisecond, Known: 20, Limit: 20}
+		return quota.Decision{Reason: q.reason, RetryAfter: 700 * time.Millisecond, Known: 20, Limit: 20}
 	}
 	q.room--
 	q.admitted = append(q.admitted, customer)
@@ -69,7 +70,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			engine, state, sender, journal := newCustomersEngine(t, Revocation{}, test.steps...)
-			quotas := &countingQuotas{room: test.room}
+			quotas := &countingQuotas{room: test.room, reason: quota.LimitReached}
 			engine.options.Quotas = quotas
 			if test.stopping {
 				state.stopPlan = &StopPlan{}
@@ -90,3 +91,16 @@
 		})
 	}
 }
+
+// TestServeFleetUnknown guards against callers below their limit that are told that they have
+// used it, by an instance that knows no other one.
+func TestServeFleetUnknown(t *testing.T) {
+	engine, _, sender, _ := newCustomersEngine(t, Revocation{}, respondWith(200))
+	engine.options.Quotas = &countingQuotas{reason: quota.FleetUnknown}
+	response := engine.Serve(context.Background(), requestWithKey("/write/x", "k1"))
+	require.Equal(t, 503, response.Status)
+	require.Equal(t, exchange.NotReady, response.Code)
+	require.Equal(t, 700*time.Millisecond, response.RetryAfter)
+	require.Equal(t, fleet.NotRun, response.Outcome)
+	require.Empty(t, sender.sent)
+}
--- a/core/gateway/role.go
+++ b/core/gateway/role.go
@@ -232,11 +232,12 @@
 // localQuota returns the part of the fleet's retry quota that this instance may use. An
 // instance that is not active gets no allowance, since there are many such instances.
 // The allowance of an instance that has become active grows over one window, since the
-// instance that it replaces has used a part of it in the same window.
+// instance that it replaces has used a part of it in the same window. An instance that knows
+// no other one gets none, since any number of them may be in the same situation.
 func (s *state) localQuota() retry.Quota {
 	view := s.workingSet.View()
 	quota := retry.Quota{Ratio: quotaShare * s.options.Quota.Ratio, Span: s.options.Quota.Span}
-	if view.Role() == workset.Active {
+	if view.Role() == workset.Active && !view.IsFleetUnknown() {
 		active := s.options.Clock.Now().Sub(s.roleChangedAt)
 		grownShare := min(float64(active)/float64(quota.Span), 1)
 		quota.Allowance = grownShare * s.options.Quota.Allowance / float64(view.ActiveCount()+spareQuotaParts)
--- a/core/gateway/role_test.go
+++ b/core/gateway/role_test.go
@@ -173,19 +173,25 @@
 }
 
 // TestQuotaOfIdleInstances guards against retries beyond the quota of the fleet: idle
-// instances, which get few requests, must not each have an allowance of their own.
+// instances, which get few requests, and those that know no other one must not each have an
+// allowance of their own.
 func TestQuotaOfIdleInstances(t *testing.T) {
 	tests := []struct {
 		name  string
 		cores float64
-		want  float64
+		seeds []fleet.Address
+		// unheard is set if no other instance is heard.
+		unheard bool
+		want    float64
 	}{
-		{"active for half of the window", 0.5, 50.0 / 6},
-		{"idle behind a larger machine", 2, 0},
+		{"active for half of the window", 0.5, nil, false, 50.0 / 6},
+		{"idle behind a larger machine", 2, nil, false, 0},
+		{"alone for 4.8 s, without seeds", 0, nil, true, 0.48 * 50.0 / 3},
+		{"alone, since the seeds do not answer", 0, []fleet.Address{"gone"}, true, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l, _, clock := newTestLoop()
+			l, _, clock := newTestLoopWithSeeds(test.seeds)
 			one := testServer("s1", fleet.Live)
 			routes := &route.Document{Version: 1, Services: []route.Service{{Name: "s"}}}
 			l.ApplyListing(follow.Listing{Position: fleet.Position{Revision: 10}, Age: time.Millisecond, Servers: []registry.Server{one}, Routes: routes}, false)
@@ -195,7 +201,9 @@
 			other.Cores = test.cores
 			for range 4 {
 				clock.Advance(100 * time.Millisecond)
-				l.HandleHeartbeat(other)
+				if !test.unheard {
+					l.HandleHeartbeat(other)
+				}
 				runCommands(l)
 				l.state.tick()
 			}
@@ -204,7 +212,9 @@
 				if i == 46 {
 					other.Uptime = time.Minute
 				}
-				l.HandleHeartbeat(other)
+				if !test.unheard {
+					l.HandleHeartbeat(other)
+				}
 				runCommands(l)
 				l.state.tick()
 			}
--- a/core/gateway/support_test.go
+++ b/core/gateway/support_test.go
@@ -84,11 +84,14 @@
 
 // newTestLoop returns the loop of an instance in failure domain "a". Its commands are
 // executed by runCommands.
-func newTestLoop() (*Loop, *recorder, *clockwork.FakeClock) {
+func newTestLoop() (*Loop, *recorder, *clockwork.FakeClock) { return newTestLoopWithSeeds(nil) }
+
+func newTestLoopWithSeeds(seeds []fleet.Address) (*Loop, *recorder, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	r := &recorder{reported: make(map[fleet.Address][]balance.ServerReport)}
 	l := New(Options{
 		Self:          workset.Heartbeat{Member: fleet.Member{ID: "a-1", Incarnation: 1}, Domain: "a", PeerAddress: "10.0.0.1:1", CallerAddress: "10.0.0.1:2", Cores: 1},
+		Seeds:         seeds,
 		Clock:         testClock{clock},
 		Peers:         r,
 		StoreFollower: r,
--- a/core/quota/enums_enumer.go
+++ b/core/quota/enums_enumer.go
@@ -96,11 +96,11 @@
 	return err
 }
 
-const _ReasonName = "admittedlimit-reachedpart-reachedshare-reachedstale"
+const _ReasonName = "admittedlimit-reachedpart-reachedshare-reachedstalefleet-unknown"
 
-var _ReasonIndex = [...]uint8{0, 8, 21, 33, 46, 51}
+var _ReasonIndex = [...]uint8{0, 8, 21, 33, 46, 51, 64}
 
-const _ReasonLowerName = "admittedlimit-reachedpart-reachedshare-reachedstale"
+const _ReasonLowerName = "admittedlimit-reachedpart-reachedshare-reachedstalefleet-unknown"
 
 func (i Reason) String() string {
 	if i >= Reason(len(_ReasonIndex)-1) {
@@ -118,9 +118,10 @@
 	_ = x[PartReached-(2)]
 	_ = x[ShareReached-(3)]
 	_ = x[Stale-(4)]
+	_ = x[FleetUnknown-(5)]
 }
 
-var _ReasonValues = []Reason{Admitted, LimitReached, PartReached, ShareReached, Stale}
+var _ReasonValues = []Reason{Admitted, LimitReached, PartReached, ShareReached, Stale, FleetUnknown}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:   Admitted,
@@ -128,6 +129,7 @@
 	_ReasonName[21:33]: PartReached,
 	_ReasonName[33:46]: ShareReached,
 	_ReasonName[46:51]: Stale,
+	_ReasonName[51:64]: FleetUnknown,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -136,6 +138,7 @@
 	_ReasonLowerName[21:33]: PartReached,
 	_ReasonLowerName[33:46]: ShareReached,
 	_ReasonLowerName[46:51]: Stale,
+	_ReasonLowerName[51:64]: FleetUnknown,
 }
 
 var _ReasonNames = []string{
@@ -144,6 +147,7 @@
 	_ReasonName[21:33],
 	_ReasonName[33:46],
 	_ReasonName[46:51],
+	_ReasonName[51:64],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -124,6 +124,8 @@
 	ShareReached
 	// Stale means that the knowledge of the use of others is too old, as after a freeze.
 	Stale
+	// FleetUnknown means that this instance has not heard from any other one since its start.
+	FleetUnknown
 )
 
 // Decision is the result of an admission with the numbers that decided.
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -82,7 +82,11 @@
 		sequence: Sequence(options.Self.Incarnation),
 	}
 	l.accounts.Store(&accounts{})
-	l.policy.Store(&policy{bounds: options.Bounds, at: options.Start, knownSince: options.Start, contactAt: options.Start, admitting: 1, size: 1, even: 1})
+	// Until the first call of SetPeers, nothing is known of the others.
+	l.policy.Store(&policy{
+		bounds: options.Bounds, at: options.Start, knownSince: options.Start, contactAt: options.Start,
+		mode: Isolated, admitting: 1, size: maxFleetSize, even: 1, unknownSince: options.Start,
+	})
 	l.epoch.Store(1)
 	return l
 }
@@ -104,7 +108,10 @@
 	}
 	s := a.evaluate(p, l.epoch.Load(), l.buckets, now)
 	reason := s.reason(p)
-	if p.isStale(now) && s.own+1 > p.allowance(a.limit) {
+	switch {
+	case reason == ShareReached && !p.unknownSince.IsZero():
+		reason = FleetUnknown
+	case p.isStale(now) && s.own+1 > p.allowance(a.limit):
 		reason = Stale
 	}
 	decision := Decision{Reason: reason, Own: s.own, Known: s.known, Limit: a.limit, Share: s.shareOrPart()}
@@ -114,6 +121,9 @@
 		// would refuse the next request for the same lack of knowledge.
 		l.touch(a)
 		decision.RetryAfter = a.retryAfter(s, reason, l.buckets.length)
+		if reason == FleetUnknown {
+			decision.RetryAfter = p.contactRetryAfter(now)
+		}
 		return decision
 	}
 	decision.OK = true
--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -156,3 +156,53 @@
 		})
 	}
 }
+
+// TestFleetUnknown guards against an instance that admits the whole quota because it knows no
+// other instance, and against callers that are told to wait longer than a contact takes.
+func TestFleetUnknown(t *testing.T) {
+	limit := quota.Limit{Customer: "c", RatePerSecond: 1000, Burst: 100}
+	tests := []struct {
+		name string
+		// ticks is the number of ticks since the start, in which the fleet is unknown, and known
+		// is set if another instance is heard after them.
+		ticks int
+		known bool
+		// most is the largest number of requests that may be admitted.
+		most   int
+		reason quota.Reason
+		// retryAfter is the longest delay that callers may be asked for.
+		retryAfter time.Duration
+	}{
+		// A fleet of 400 instances admits a tenth of the overage of 1,295 together.
+		{"before the first tick", 0, false, 0, quota.FleetUnknown, 200 * time.Millisecond},
+		{"at the first tick", 1, false, 0, quota.FleetUnknown, 200 * time.Millisecond},
+		{"after 0.5 s", 5, false, 0, quota.FleetUnknown, 500 * time.Millisecond},
+		{"after 4 s", 40, false, 0, quota.FleetUnknown, time.Second},
+		{"in contact", 40, true, 1000, quota.LimitReached, time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			l := quota.New(quota.Options{Self: fleet.Member{ID: "i", Incarnation: 1}, Bounds: modelBounds, Start: now})
+			l.SetLimits(now, 1, []quota.Limit{limit})
+			for range test.ticks {
+				now = now.Add(modelTick)
+				l.SetPeers(now, quota.Peers{SelfActive: true, Majority: true, Size: 1, Unknown: true})
+			}
+			if test.known {
+				now = now.Add(modelTick)
+				l.SetPeers(now, quota.Peers{SelfActive: true, Majority: true, Size: 2, Active: []fleet.Member{{ID: "j", Incarnation: 1}}})
+			}
+			admitted := 0
+			decision := l.Admit(now, "c")
+			for ; decision.OK; decision = l.Admit(now, "c") {
+				admitted++
+			}
+			require.LessOrEqual(t, admitted, test.most)
+			require.Equal(t, test.known, admitted > 0)
+			require.Equal(t, test.reason, decision.Reason)
+			require.Positive(t, decision.RetryAfter)
+			require.LessOrEqual(t, decision.RetryAfter, test.retryAfter)
+		})
+	}
+}
--- a/core/quota/model_run_test.go
+++ b/core/quota/model_run_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"galenaridge/core/fleet"
 	"galenaridge/core/quota"
 )
 
@@ -320,3 +321,74 @@
 		})
 	}
 }
+
+// minLostTime is how long the seeds are lost in TestLostSeeds at least.
+const minLostTime = 3 * time.Second
+
+// TestLostSeeds guards against instances that each give out the whole quota of a customer,
+// because they restart together, know others only by their seeds, and these do not answer.
+func TestLostSeeds(t *testing.T) {
+	addresses := func(instances []*instance) []fleet.Address {
+		var list []fleet.Address
+		for _, i := range instances {
+			list = append(list, fleet.Address(i.id))
+		}
+		return list
+	}
+	tests := []struct {
+		name      string
+		instances int
+		// factor is the demand as a multiple of the usual one, which is half of the rate.
+		factor float64
+		// namedAfter is when the settings name other seeds; never if it is zero.
+		namedAfter time.Duration
+	}{
+		{"other seeds are named", 9, 8, 3 * time.Second},
+		{"other seeds are named late", 18, 8, 8 * time.Second},
+		{"no other seeds are named", 9, 8, 0},
+		{"usual demand", 18, 1, 3 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, seed := range seeds(t) {
+				m := newModel(seed, test.instances, 3, testCustomers())
+				startAll(m)
+				lost, back := m.instances[:3], m.instances[3:]
+				for _, i := range m.instances {
+					i.kill()
+				}
+				m.play(700 * time.Millisecond)
+				for _, c := range m.customers {
+					c.factor = func(int) float64 { return test.factor }
+					for k, caller := range c.callers {
+						caller.homeFor = back[k%len(back)]
+					}
+				}
+				for _, i := range back {
+					i.seeds = addresses(lost)
+					i.start()
+				}
+				m.play(max(test.namedAfter, minLostTime))
+				if test.namedAfter > 0 {
+					for _, i := range back {
+						// Instances read their settings at different times.
+						m.play(time.Duration(m.random.IntN(200)) * time.Millisecond)
+						i.working.AddContacts(addresses(back[:3]))
+					}
+				}
+				m.play(3 * time.Second)
+				begin := len(m.customers[0].sent)
+				m.play(10 * time.Second)
+				for _, c := range m.customers {
+					if c.over > 0 {
+						t.Errorf("seed %d: %s is %.0f above the bound of %.0f %s", seed, c.limit.Customer, c.over, limitOf(c.limit)*1.25+20, c.overAt)
+					}
+					refused, sent := sumSince(c.refused, begin), sumSince(c.sent, begin)
+					if test.factor <= 1 && float64(refused) > 0.01*float64(sent) {
+						t.Errorf("seed %d: %d of %d requests of %s at half of its limit are refused 3 s after other seeds are named", seed, refused, sent, c.limit.Customer)
+					}
+				}
+			}
+		})
+	}
+}
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -49,6 +49,7 @@
 	domain      fleet.Domain
 	incarnation fleet.Incarnation
 	up          bool
+	startStep   int
 	working     *workset.State
 	limiter     *quota.Limiter
 	phase       int
@@ -59,6 +60,8 @@
 	held      []func()
 	requests  int
 	rate      float64
+	// seeds are the seeds of the next start; some random instances if it is nil.
+	seeds     []fleet.Address
 	sentStep  int
 	sentCount map[*instance]int
 }
@@ -120,13 +123,14 @@
 	}
 	i.incarnation++
 	i.up, i.frozen, i.held, i.ticks, i.rate = true, false, nil, 0, 0
+	i.startStep = i.model.step
 	member := fleet.Member{ID: i.id, Incarnation: i.incarnation<<32 + fleet.Incarnation(i.model.random.Uint32())}
 	self := workset.Heartbeat{Member: member, Domain: i.domain, PeerAddress: fleet.Address(i.id), CallerAddress: fleet.Address(i.id), Cores: 0.16}
 	if i.index < 6 {
 		self.Cores = 0.8
 	}
-	var seeds []fleet.Address
-	for range 4 {
+	seeds := i.seeds
+	for len(seeds) < 4 && i.seeds == nil {
 		seeds = append(seeds, fleet.Address(i.model.instances[i.model.random.IntN(len(i.model.instances))].id))
 	}
 	i.working = workset.New(workset.Options{Self: self, Start: i.now(), Seeds: seeds})
@@ -151,6 +155,15 @@
 	return i.sentCount[to]
 }
 
+// contactsWait is how long an instance without contact waits before it reads the store. Before
+// that it has no configuration, and refuses all requests.
+const contactsWait = 100 * time.Millisecond
+
+// loaded reports whether the instance may have a configuration.
+func (i *instance) loaded() bool {
+	return i.working.View().LivePeerCount() > 0 || time.Duration(i.model.step-i.startStep)*modelStep >= contactsWait
+}
+
 func (i *instance) kill() { i.up, i.frozen = false, false }
 
 // deliver runs a handler on an instance after the delay of the network.
@@ -282,7 +295,7 @@
 		}
 		caller := c.callers[m.random.IntN(len(c.callers))]
 		target := m.resolve(caller)
-		if target == nil || !target.up || target.frozen {
+		if target == nil || !target.up || target.frozen || !target.loaded() {
 			continue
 		}
 		sent++
--- a/core/quota/rules.go
+++ b/core/quota/rules.go
@@ -22,6 +22,10 @@
 	// part of the limit. A customer that sends 4 times its rate, with a limit of 6 times its
 	// rate, uses this in 0.6 s. Other instances reserve as much for one that loses contact.
 	unknownPart = 0.4
+	// maxFleetSize is the number of instances that a fleet of unknown size is taken to have, that
+	// of the largest one in docs/CAPACITY.md. If all of them know nobody, they admit isolatedPart
+	// of the overage together.
+	maxFleetSize = 400
 	// isolatedPart is the part of the overage that all isolated instances use together.
 	isolatedPart = 0.1
 	// reportPart is the part of what an instance may use before the others know it, from
@@ -81,6 +85,9 @@
 	farewellCount = 3
 	// minRetryAfter is the least delay that refused callers are asked for.
 	minRetryAfter = 100 * time.Millisecond
+	// maxContactRetryAfter is the longest delay that callers are asked for who are refused because
+	// this instance knows no other one. New seeds may lead to a contact at any time.
+	maxContactRetryAfter = time.Second
 )
 
 // policy is what the control goroutine decides for all customers. It is immutable.
@@ -105,6 +112,9 @@
 	size      int
 	// even is the weight of an instance without use.
 	even float64
+	// unknownSince is when this instance started if it knows of no other one yet although there
+	// may be some; zero otherwise.
+	unknownSince time.Time
 }
 
 // overage is what all instances may admit in a window beyond a limit.
@@ -126,6 +136,12 @@
 	return float64(int(isolatedPart * p.bounds.overage(limit) / float64(max(p.size, p.admitting, 1))))
 }
 
+// contactRetryAfter returns the delay for callers that are refused because this instance knows
+// no other one: as long as that has lasted, since lost seeds are only replaced after seconds.
+func (p *policy) contactRetryAfter(now time.Time) time.Duration {
+	return min(max(now.Sub(p.unknownSince), 2*minRetryAfter), maxContactRetryAfter)
+}
+
 // isStale reports whether the control goroutine or the whole machine stood still since the
 // policy was published. The wall clock shows when a machine was suspended and its monotonic
 // clock stood still.
--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -36,15 +36,25 @@
 	copyConfirmedAt   time.Time
 	configConfirmedAt time.Time
 	readAt            time.Time
+	// contactAt is when an instance joined while no other one was live; zero if none did yet.
+	contactAt time.Time
+	// seedsNameOthers is set if the latest seeds name another instance.
+	seedsNameOthers bool
 }
 
 // New returns a state that knows only this instance.
 func New(options Options) *State {
 	s := &State{options: options, self: options.Self, peers: make(map[fleet.InstanceID]*peer)}
-	s.view = &View{}
+	s.seedsNameOthers = s.nameOthers(options.Seeds)
+	s.view = &View{fleetUnknown: s.seedsNameOthers}
 	return s
 }
 
+// nameOthers reports whether seeds name another instance than this one.
+func (s *State) nameOthers(seeds []fleet.Address) bool {
+	return slices.ContainsFunc(seeds, func(a fleet.Address) bool { return a != s.self.PeerAddress })
+}
+
 // LocalStatus is the part of the own heartbeat that changes while the process runs.
 // Its fields have the same meaning as in Heartbeat, with times in place of ages, which are
 // computed when a heartbeat is sent.
@@ -109,6 +119,9 @@
 		return "", false
 	}
 	joined = !found || !known.live(now)
+	if joined && s.view.livePeers == 0 {
+		s.contactAt = now
+	}
 	for _, contact := range heartbeat.Contacts {
 		s.addContact(contact)
 	}
@@ -191,7 +204,7 @@
 // different failure domains send each other none.
 func (s *State) DueHeartbeats(now time.Time, urgent bool) []OutgoingHeartbeat {
 	alone := s.view.livePeers == 0
-	announcing := alone || now.Sub(s.options.Start) < announceTime
+	announcing := alone || now.Sub(s.options.Start) < announceTime || now.Sub(s.contactAt) < announceTime
 	localInterval, remoteInterval := idleInterval, idleRemoteInterval
 	inUse := s.view.role != Idle || s.self.Leaving || alone
 	if inUse {
@@ -318,8 +331,9 @@
 	return heartbeat
 }
 
-// AddContacts adds peer addresses from which contacts may be requested.
+// AddContacts adds the seeds of changed settings, from which contacts may be requested.
 func (s *State) AddContacts(addresses []fleet.Address) {
+	s.seedsNameOthers = s.nameOthers(addresses)
 	for _, address := range addresses {
 		s.addContact(address)
 	}
--- a/core/workset/majority.go
+++ b/core/workset/majority.go
@@ -27,6 +27,8 @@
 // other failure domains rarely send heartbeats to this one, so they are counted by the
 // instances there.
 func (s *State) countInstances(now time.Time, v *View) {
+	// Who is silent for forgetAfter is forgotten, also if it was never heard.
+	v.fleetUnknown = s.contactAt.IsZero() && s.seedsNameOthers && now.Sub(s.options.Start) <= forgetAfter
 	own := s.countDomain(now)
 	s.self.DomainSize, s.self.DomainHeard = own.size, own.heard
 	v.size, v.heard = own.size, own.heard
--- a/core/workset/majority_test.go
+++ b/core/workset/majority_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -68,3 +69,58 @@
 		})
 	}
 }
+
+// TestFleetUnknown guards against a restarted instance that takes itself for the whole fleet
+// because its seeds do not answer, and against one that never does although it is alone.
+func TestFleetUnknown(t *testing.T) {
+	const self, other = fleet.Address("self"), fleet.Address("gone")
+	tests := []struct {
+		name  string
+		seeds []fleet.Address
+		// added are the seeds of changed settings.
+		added  []fleet.Address
+		heard  bool
+		uptime time.Duration
+		want   bool
+	}{
+		{"no seeds", nil, nil, false, time.Second, false},
+		{"only itself as a seed", []fleet.Address{self}, nil, false, time.Second, false},
+		{"seeds that do not answer", []fleet.Address{self, other}, nil, false, time.Second, true},
+		{"a seed that answered", []fleet.Address{other}, nil, true, time.Second, false},
+		{"other seeds that do not answer either", []fleet.Address{other}, []fleet.Address{"gone-too"}, false, 4 * time.Second, true},
+		{"the settings no longer name others", []fleet.Address{other}, []fleet.Address{self}, false, 4 * time.Second, false},
+		{"alone for as long as silent instances are remembered", []fleet.Address{other}, nil, false, forgetAfter + time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			s := New(Options{Self: Heartbeat{Member: fleet.Member{ID: "self"}, Domain: "a", PeerAddress: self}, Start: now.Add(-test.uptime), Seeds: test.seeds})
+			if test.added != nil {
+				s.AddContacts(test.added)
+			}
+			if test.heard {
+				s.HandleHeartbeat(now, Heartbeat{Member: fleet.Member{ID: "other"}, Domain: "a", PeerAddress: other, Interval: idleInterval})
+			}
+			s.UpdateView(now)
+			require.Equal(t, test.want, s.View().IsFleetUnknown())
+			require.Equal(t, !test.want, s.View().HasMajority())
+		})
+	}
+}
+
+// TestAnnouncementsAfterLateContact guards against instances that know only a part of the fleet
+// for long, because their seeds were lost when they started and they asked for no contacts when
+// one of them found the others.
+func TestAnnouncementsAfterLateContact(t *testing.T) {
+	start := time.Now()
+	s := New(Options{Self: Heartbeat{Member: fleet.Member{ID: "self"}, Domain: "a", PeerAddress: "self"}, Start: start, Seeds: []fleet.Address{"gone"}})
+	s.UpdateView(start.Add(2 * announceTime))
+	contactAt := start.Add(2*announceTime + time.Second)
+	s.HandleHeartbeat(contactAt, Heartbeat{Member: fleet.Member{ID: "other"}, Domain: "a", PeerAddress: "other", Interval: idleInterval})
+	s.UpdateView(contactAt)
+	asked := false
+	for _, outgoing := range s.DueHeartbeats(contactAt.Add(inUseInterval), false) {
+		asked = asked || outgoing.Heartbeat.RequestsContacts && slices.Contains(outgoing.Recipients, "other")
+	}
+	require.True(t, asked)
+}
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -107,7 +107,8 @@
 	// start, since it may be in a crash loop.
 	recentlyStartedTime = 4 * time.Second
 	// announceTime is how long a new instance requests contacts, and announces
-	// itself to contacts from which it has received no heartbeat. One request is not
+	// itself to contacts from which it has received no heartbeat. It begins anew at the
+	// first contact, which a lost seed may delay. One request is not
 	// enough, since after a restart of the whole fleet the first replies list few
 	// contacts.
 	announceTime = 3 * time.Second
--- a/core/workset/queries.go
+++ b/core/workset/queries.go
@@ -38,6 +38,8 @@
 	// size is the number of known instances, and heard the number of those in contact.
 	size  int
 	heard int
+	// fleetUnknown is set while this instance has not heard from any other one of the fleet.
+	fleetUnknown bool
 }
 
 // View returns the working set as of the last UpdateView. It is never nil.
@@ -70,8 +72,13 @@
 // their failure domain that it is in contact with, heard from lately.
 func (v *View) HeardCount() int { return v.heard }
 
+// IsFleetUnknown reports whether this instance has started, its seeds name others, and none of
+// them was heard yet. It must not take itself for the whole fleet then: seeds may be lost while
+// any number of other instances runs.
+func (v *View) IsFleetUnknown() bool { return v.fleetUnknown }
+
 // HasMajority reports whether this instance is in contact with more than half of the fleet.
-func (v *View) HasMajority() bool { return 2*v.heard > v.size }
+func (v *View) HasMajority() bool { return !v.fleetUnknown && 2*v.heard > v.size }
 
 // isInUse reports whether an instance is active or the standby.
 func (v *View) isInUse(id fleet.InstanceID) bool { return v.inUse[id] }
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -302,6 +302,10 @@
 			p.reloadIfChanged()
 		case <-maintenanceTicker.Chan():
 			p.serverPool.PruneIdle(func(i registry.Incarnation) bool { return p.control.View().IsListedLive(i) })
+			if p.control.View().WorkingSet().LivePeerCount() == 0 {
+				// The seeds may be lost. The instance admits next to nothing until it finds others.
+				p.reloadIfChanged()
+			}
 			if dropped := p.decisions.TakeDropped(); dropped > 0 {
 				p.decisions.Write(decisionlog.Line{Event: decisionlog.LinesDropped, Count: dropped})
 			}
--- a/tests/integration/gateway_quotas_test.go
+++ b/tests/integration/gateway_quotas_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -41,6 +42,8 @@
 	sent     atomic.Int64
 	admitted atomic.Int64
 	refused  atomic.Int64
+	// unready counts the refusals by instances that know no other one.
+	unready atomic.Int64
 	// wrong counts refusals without a delay or with another code.
 	wrong atomic.Int64
 }
@@ -87,6 +90,12 @@
 		if err != nil || delay <= 0 || delay > 10 || !strings.Contains(string(body), `"quota_exceeded"`) {
 			c.wrong.Add(1)
 		}
+	case http.StatusServiceUnavailable:
+		c.unready.Add(1)
+		delay, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		if err != nil || delay <= 0 || delay > 1 || !strings.Contains(string(body), `"not_ready"`) {
+			c.wrong.Add(1)
+		}
 	}
 }
 
@@ -156,3 +165,57 @@
 	require.Zero(t, large.wrong.Load()+usual.wrong.Load(), "refusals without code or delay")
 	require.Zero(t, calm, "a customer below its quota was refused")
 }
+
+// replaceSeeds writes other seeds to the settings of all instances. No signal announces them.
+func (f *gatewayFleet) replaceSeeds(old, replacement string) {
+	f.t.Helper()
+	for _, instance := range f.instances {
+		text, err := os.ReadFile(instance.settingsPath)
+		require.NoError(f.t, err)
+		require.Contains(f.t, string(text), old)
+		require.NoError(f.t, os.WriteFile(instance.settingsPath, []byte(strings.Replace(string(text), old, replacement, 1)), 0o600))
+	}
+}
+
+// TestGatewayLostSeeds guards, in the real program, against instances that each admit the whole
+// quota of a customer because they start while their seeds are lost, and against instances that
+// go on refusing when the settings name other seeds.
+func TestGatewayLostSeeds(t *testing.T) {
+	f := newGatewayFleet(t, 6)
+	f.addBounds("quota_window_s=5", "quota_overage=0.25", "quota_tolerance=20")
+	host, port, err := net.SplitHostPort(f.instances[0].callerAddress)
+	require.NoError(t, err)
+	basePort, err := strconv.Atoi(port)
+	require.NoError(t, err)
+	seed := fmt.Sprintf("seeds: [%q]", fmt.Sprintf("%s:%d", host, basePort+3))
+	lost := fmt.Sprintf("seeds: [%q]", fmt.Sprintf("127.0.9.9:%d", basePort+3))
+	f.replaceSeeds(seed, lost)
+	servers := f.startServers("one", "i-1", "i-2", "i-3", "i-4", "i-5", "i-6")
+	f.store.Put("op/config", customersConfig(3, `[{"name":"large","api_keys":["`+firstKey+`"],"rate_per_s":30,"burst":30}]`))
+	for _, instance := range f.instances {
+		f.start(instance)
+	}
+	f.awaitReady(f.instances...)
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers, requests sync.WaitGroup
+	large := &quotaCaller{fleet: f, key: firstKey}
+	callers.Go(func() { large.run(ctx, &requests, 120) })
+	time.Sleep(2 * time.Second)
+	f.replaceSeeds(lost, seed)
+	time.Sleep(2500 * time.Millisecond)
+	refusedBefore, admittedBefore := large.unready.Load(), large.admitted.Load()
+	time.Sleep(3 * time.Second)
+	cancel()
+	callers.Wait()
+	requests.Wait()
+
+	const limit = 30*5 + 30
+	ran, _ := largestWindow(servers, "large", 5*time.Second)
+	t.Logf("sent %d, admitted %d, refused %d by the quota and %d without contact, largest window %d of %.0f",
+		large.sent.Load(), large.admitted.Load(), large.refused.Load(), large.unready.Load(), ran, limit*1.25+20)
+	require.LessOrEqual(t, float64(ran), limit*1.25+20, "more than the quota ran")
+	require.Positive(t, refusedBefore, "instances without contact admit nothing that others may admit as well")
+	require.Equal(t, refusedBefore, large.unready.Load(), "all instances are in contact 2.5 s after the settings name other seeds")
+	require.Greater(t, large.admitted.Load()-admittedBefore, int64(30), "the quota is used again")
+	require.Zero(t, large.wrong.Load(), "refusals without code or delay")
+}
