--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -69,6 +69,9 @@
 	ServerRemoved(server fleet.ServerID, lapsed bool)
 	StoreLost(err error)
 	StoreRegained(after time.Duration)
+	// ReadingChanged reports that this instance reads the store in another way, with the time
+	// since its copy was last confirmed.
+	ReadingChanged(mode follow.Mode, copyAge time.Duration)
 	// CopyFetched reports the end of a fetch from a peer, also of one that failed.
 	CopyFetched(report follow.FetchReport)
 	// MachineSlowChanged reports that the machine has become slow or has recovered,
--- a/core/gateway/quota.go
+++ b/core/gateway/quota.go
@@ -26,7 +26,7 @@
 		return
 	}
 	view := s.workingSet.View()
-	peers := quota.Peers{SelfActive: view.Role() == workset.Active, Majority: view.HasMajority(), Size: view.Size(), Unknown: view.IsFleetUnknown()}
+	peers := quota.Peers{SelfActive: view.Role() == workset.Active, Majority: view.HasMajority(), Size: view.Size(), FleetUnknown: view.IsFleetUnknown()}
 	for _, heartbeat := range view.AllActive() {
 		if heartbeat.Member.ID != s.options.Self.Member.ID {
 			peers.Active = append(peers.Active, heartbeat.Member)
--- a/core/gateway/reading.go
+++ b/core/gateway/reading.go
@@ -113,6 +113,7 @@
 		s.storeLost = false
 	}
 	s.reading = mode
+	s.options.Events.ReadingChanged(mode, s.copyAge(s.options.Clock.Now()))
 	s.options.StoreFollower.SetMode(mode)
 }
 
--- a/core/gateway/support_test.go
+++ b/core/gateway/support_test.go
@@ -74,6 +74,7 @@
 func (r *recorder) ServerChanged(registry.Server)                                           {}
 func (r *recorder) ServerRemoved(id fleet.ServerID, _ bool)                                 { r.removed = append(r.removed, id) }
 func (r *recorder) StoreLost(error)                                                         {}
+func (r *recorder) ReadingChanged(follow.Mode, time.Duration)                               {}
 func (r *recorder) StoreRegained(time.Duration)                                             {}
 func (r *recorder) CopyFetched(follow.FetchReport)                                          {}
 func (r *recorder) MachineSlowChanged(slow bool, _ time.Duration)                           { r.slow = append(r.slow, slow) }
--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -187,7 +187,7 @@
 			l.SetLimits(now, 1, []quota.Limit{limit})
 			for range test.ticks {
 				now = now.Add(modelTick)
-				l.SetPeers(now, quota.Peers{SelfActive: true, Majority: true, Size: 1, Unknown: true})
+				l.SetPeers(now, quota.Peers{SelfActive: true, Majority: true, Size: 1, FleetUnknown: true})
 			}
 			if test.known {
 				now = now.Add(modelTick)
--- a/core/quota/peers.go
+++ b/core/quota/peers.go
@@ -70,8 +70,8 @@
 	Majority bool
 	// Size is the number of instances of the fleet.
 	Size int
-	// Unknown is set while this instance knows of no other one although there may be some.
-	Unknown bool
+	// FleetUnknown is set while this instance knows of no other one although there may be some.
+	FleetUnknown bool
 }
 
 // fullReportCount is the number of complete reports that a new peer gets, fullReportInterval
@@ -114,8 +114,8 @@
 		next.admitting = max(next.admitting, counts.reported)
 	}
 	next.even = next.evenWeight()
-	next.mode = counts.mode(peers.Majority && !peers.Unknown)
-	if peers.Unknown {
+	next.mode = counts.mode(peers.Majority && !peers.FleetUnknown)
+	if peers.FleetUnknown {
 		next.size, next.unknownSince = maxFleetSize, l.options.Start
 	}
 	if next.mode == Connected {
--- a/io/decisionlog/line.go
+++ b/io/decisionlog/line.go
@@ -25,6 +25,7 @@
 	ConfigRefused     Event = "config-refused"
 	StoreLost         Event = "store-lost"
 	StoreRegained     Event = "store-regained"
+	ReadingChanged    Event = "store-reading"
 	CopyFetched       Event = "copy-fetched"
 	CopyFetchFailed   Event = "copy-missed"
 	PeerJoined        Event = "peer-joined"
--- a/io/gateway/journal.go
+++ b/io/gateway/journal.go
@@ -201,6 +201,11 @@
 	j.writer.Write(decisionlog.Line{Event: decisionlog.StoreRegained, AgeMS: unavailableFor.Milliseconds()})
 }
 
+// ReadingChanged implements gateway.Events of core.
+func (j *decisionJournal) ReadingChanged(mode follow.Mode, copyAge time.Duration) {
+	j.writer.Write(decisionlog.Line{Event: decisionlog.ReadingChanged, State: mode.String(), AgeMS: copyAge.Milliseconds()})
+}
+
 // CopyFetched implements gateway.Events of core.
 func (j *decisionJournal) CopyFetched(report follow.FetchReport) {
 	j.fetchMetrics.record(report)
