workset: keep an instance active until the load is clearly lower

What callers saw: near the capacity of the active instances, directories named one address and two in turn, 0.1 to 0.4 s apart, and callers stop using connections to an address that is missing.

Cause: the number of active instances follows a moving average of the rate over 2 s, which varies by 4% there, with one threshold for both directions.

Change: heartbeats say whether their sender takes itself for active. It stays so until the load is below 0.85 of the capacity of those before it. The others follow what it says, so that all see the same set.

--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -91,6 +91,7 @@
 func (s *State) heartbeat(now time.Time) Heartbeat {
 	heartbeat := s.self
 	heartbeat.Uptime = now.Sub(s.options.Start)
+	heartbeat.Active = s.view.role == Active
 	heartbeat.CopyAge, heartbeat.ConfigAge = ageOf(now, s.copyConfirmedAt), ageOf(now, s.configConfirmedAt)
 	if heartbeat.ReadsStore {
 		heartbeat.ReadAge = now.Sub(s.readAt)
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -20,6 +20,8 @@
 	StoreUnreachable bool
 	// Slow is set while the timers of the machine fire late.
 	Slow bool
+	// Active is set while the sender takes itself for active.
+	Active bool
 	// Interval is the time until the next heartbeat to the same receiver.
 	Interval time.Duration
 	// Uptime is the age of the process.
@@ -128,6 +130,10 @@
 	// requestMegabits is the traffic of a request over the link of its instance, in
 	// megabits: about 8 KB, with both directions to the caller and to the server.
 	requestMegabits = 0.064
+	// keepActiveShare is the share of the capacity of the active instances before it that the
+	// load must exceed for an instance to stay active. In 2 s the measured load of 160 requests
+	// a second varies by 4% (one standard deviation).
+	keepActiveShare = 0.85
 	// maxContacts bounds the contacts of one heartbeat, which has to fit into one
 	// datagram.
 	maxContacts = 48
--- a/core/workset/order.go
+++ b/core/workset/order.go
@@ -80,7 +80,8 @@
 
 // rankDomain orders the candidates of a failure domain and adds its active and standby
 // instances to the view. The first candidates are active, as many as a load of rate
-// requests per second needs, but at least one.
+// requests per second needs, but at least one. One that is active stays so until the load is
+// clearly lower, since the measured load varies.
 func (s *State) rankDomain(v *View, domain fleet.Domain, candidates []candidate, rate float64) {
 	allRecentlyStarted := !slices.ContainsFunc(candidates, func(c candidate) bool { return !c.recentlyStarted })
 	slices.SortFunc(candidates, func(a, b candidate) int {
@@ -93,10 +94,14 @@
 			-cmp.Compare(a.score, b.score),
 		)
 	})
-	coresNeeded := rate / ratePerCore
+	coresNeeded, coresActive := rate/ratePerCore, 0.0
 	readerFound, selfFound := false, false
 	for i, c := range candidates {
-		active := i == 0 || coresNeeded > 0
+		coresAhead := coresActive
+		if c.heartbeat.Active {
+			coresAhead *= keepActiveShare
+		}
+		active := i == 0 || coresAhead < coresNeeded
 		self := c.heartbeat.Member == s.self.Member
 		if self {
 			v.rank, selfFound = i, true
@@ -111,11 +116,11 @@
 		switch {
 		case active && self:
 			v.role = Active
-		case self && i > 0 && coresNeeded <= 0 && !v.hasStandby[domain]:
+		case self && !active && !v.hasStandby[domain]:
 			v.role = Standby
 		}
 		if active {
-			coresNeeded -= c.heartbeat.Cores
+			coresActive += c.heartbeat.Cores
 			v.active[domain] = append(v.active[domain], c.heartbeat)
 			v.inUse[c.heartbeat.Member.ID] = true
 			continue
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -161,6 +161,55 @@
 	}
 }
 
+// TestLoadThatVaries guards against a working set that changes several times a second while the
+// measured load varies around the capacity of the active instances.
+func TestLoadThatVaries(t *testing.T) {
+	tests := []struct {
+		name string
+		// rates are the rates that are measured one after the other.
+		rates []float64
+		want  []int
+	}{
+		{"around the capacity of one", []float64{155, 165, 155, 165, 150, 165}, []int{1, 2, 2, 2, 2, 2}},
+		{"around the capacity of two", []float64{325, 315, 325, 315}, []int{3, 3, 3, 3}},
+		{"falls", []float64{165, 140, 135, 140, 159}, []int{2, 2, 1, 1, 1}},
+		{"ends", []float64{325, 0}, []int{3, 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var heartbeats []Heartbeat
+			for i := range 4 {
+				heartbeat := newHeartbeat(fmt.Sprintf("i%d", i), "a")
+				heartbeat.Cores = 0.32
+				heartbeats = append(heartbeats, heartbeat)
+			}
+			states := newFleet(startTime, heartbeats...)
+			for i, rate := range test.rates {
+				now := startTime.Add(time.Duration(i+1) * inUseInterval)
+				for _, s := range states {
+					s.SetLocalStatus(LocalStatus{Ready: true, RequestRate: rate / float64(len(states)), CopyConfirmedAt: now})
+				}
+				// Two rounds, so that all know who is active.
+				for range 2 {
+					for _, from := range states {
+						heartbeat := from.heartbeat(now)
+						heartbeat.Interval = inUseInterval
+						for _, to := range states {
+							to.HandleHeartbeat(now, heartbeat)
+						}
+					}
+					for _, s := range states {
+						s.UpdateView(now)
+					}
+				}
+				for _, s := range states {
+					require.Equal(t, test.want[i], s.View().ActiveCount(), "at %v requests a second, after %v", rate, test.rates[:i])
+				}
+			}
+		})
+	}
+}
+
 // TestAssignByCapacity guards against the overload of a small machine that gets as many
 // callers as the large one next to it.
 func TestAssignByCapacity(t *testing.T) {
