gateway: test readers that are cut off from the other instances

Cause: TestReadersOfTheStore had readers that the store refuses and lost ones, and none that run and reach nobody, as a frozen or cut-off one does. Change: three more cases, up to a fleet in which nobody reaches anybody.

--- a/core/gateway/readers_test.go
+++ b/core/gateway/readers_test.go
@@ -97,6 +97,8 @@
 	random  *rand.Rand
 	members []*fleetMember
 	running map[fleet.Address]*fleetMember
+	// cut holds the instances that reach no other one.
+	cut map[fleet.Address]bool
 }
 
 func newTestFleet(seed uint64) *testFleet {
@@ -104,6 +106,7 @@
 		store:   &sharedStore{revision: 10, version: 1, changed: make(chan struct{})},
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		running: make(map[fleet.Address]*fleetMember),
+		cut:     make(map[fleet.Address]bool),
 	}
 	for i := range fleetSize {
 		f.start(fmt.Sprintf("i-%02d", i), fleet.Domain(rune('a'+i%fleetDomains)))
@@ -153,6 +156,16 @@
 	return f.running[address]
 }
 
+// reach returns the running instance with an address if another one reaches it.
+func (f *testFleet) reach(from *fleetMember, address fleet.Address) *fleetMember {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut[from.self.PeerAddress] || f.cut[address] {
+		return nil
+	}
+	return f.running[address]
+}
+
 func (f *testFleet) transit() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -180,7 +193,7 @@
 func (m *fleetMember) SendHeartbeat(heartbeat workset.Heartbeat, recipients []fleet.Address) {
 	for _, address := range recipients {
 		time.AfterFunc(m.fleet.transit(), func() {
-			if to := m.fleet.find(address); to != nil && to != m {
+			if to := m.fleet.reach(m, address); to != nil && to != m {
 				to.loop.HandleHeartbeat(heartbeat)
 			}
 		})
@@ -193,7 +206,7 @@
 // FetchChanges implements CopyFetcher.
 func (m *fleetMember) FetchChanges(peer fleet.Address, known fleet.Position) {
 	time.AfterFunc(callTime, func() {
-		from := m.fleet.find(peer)
+		from := m.fleet.reach(m, peer)
 		if from == nil {
 			return
 		}
@@ -208,7 +221,7 @@
 // FetchConfiguration implements CopyFetcher.
 func (m *fleetMember) FetchConfiguration(peer fleet.Address, _ fleet.Version) {
 	time.AfterFunc(callTime, func() {
-		if from := m.fleet.find(peer); from != nil && from.loop.View().Document() != nil {
+		if from := m.fleet.reach(m, peer); from != nil && from.loop.View().Document() != nil {
 			m.loop.ApplyConfiguration(from.loop.View().Document())
 		}
 	})
@@ -319,6 +332,18 @@
 			return nil
 		}
 	}
+	cutOff := func(count int) func(f *testFleet) map[fleet.InstanceID]bool {
+		return func(f *testFleet) map[fleet.InstanceID]bool {
+			for i := range fleetDomains {
+				for _, m := range f.byRank(fleet.Domain(rune('a' + i)))[:count] {
+					f.mu.Lock()
+					f.cut[m.self.PeerAddress] = true
+					f.mu.Unlock()
+				}
+			}
+			return nil
+		}
+	}
 	tests := []struct {
 		name string
 		// trouble begins the trouble and returns the instances that the store refuses, which
@@ -335,6 +360,9 @@
 		{"the first one is killed", kill(1)},
 		{"the first six are killed", kill(6)},
 		{"all but one are killed", kill(perDomain - 1)},
+		{"the first one is cut off from the others", cutOff(1)},
+		{"the first five are cut off from the others", cutOff(5)},
+		{"all are cut off from each other", cutOff(perDomain)},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
