gateway: backups stop reading the store once they need not

At the first start of a fleet all instances of a failure domain read the store, since the time for the first confirmation of the configuration ran from the start of the process, and the first copy comes about then. And after an outage of a second for all, each of 98 instances went on reading for 2 s after its first successful call.

Change: that time runs from the first listing. An instance whose copy is confirmed again stops as soon as one that ranks before it reads the store; only undelivered changes keep it reading for 2 s.

The rest is what it costs that each instance whose copy nobody confirms asks by itself. TestReadersOfTheStore holds as before.

--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -58,6 +58,9 @@
 	s.applyServers()
 	s.adoptRoutes(listing.Routes)
 	s.refuseConfig(listing.Refused)
+	if s.position.IsZero() {
+		s.listedAt = now
+	}
 	s.position = listing.Position
 	s.batches = []follow.Batch{{From: s.position, To: s.position}}
 	s.options.Events.ListingApplied(listing.Position, s.registry.View().ServerCount(), outage)
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -84,8 +84,10 @@
 	readAt  time.Time
 	// roleChangedAt is when this instance took its role.
 	roleChangedAt time.Time
-	// readUntil is the time until which this instance reads the store at least.
+	// readUntil is the time until which this instance reads the store at least, and listedAt
+	// when it got its first listing.
 	readUntil time.Time
+	listedAt  time.Time
 	tickCount int
 	// storeLost is set if the latest call to the store failed.
 	storeLost bool
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -126,8 +126,8 @@
 	// instance that is not the store reader then waits for the copy of the reader.
 	firstStartContactsWait = time.Second
 	firstStartCopyWait     = 2500 * time.Millisecond
-	// minReadTime is how long an instance goes on reading the store at least. Within this time,
-	// the heartbeats show whether one that ranks before it reads the store as well.
+	// minReadTime is how long an instance goes on reading the store at least if peers did not
+	// deliver the changes that they announced.
 	minReadTime = 2 * time.Second
 	// queueSize bounds the queued commands.
 	queueSize = 256
--- a/core/gateway/reading.go
+++ b/core/gateway/reading.go
@@ -33,11 +33,11 @@
 	justResumed := !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < resumeDelay+resumePatience
 	overdue := s.knowledgeAge(now) > overdueCopyAge+s.rankDelay() && !justResumed
 	behind := s.announcedListing.behindFor(now) > listingPatience+s.rankDelay()
-	if overdue || behind {
+	if behind {
 		s.readUntil = now.Add(minReadTime)
 	}
 	switch {
-	case view.IsStoreReader(), now.Before(s.readUntil):
+	case view.IsStoreReader(), overdue, now.Before(s.readUntil):
 		return mode
 	case s.isReading() && !view.IsReadAhead():
 		// No instance that ranks before this one reads the store, so that others may depend on it.
@@ -48,14 +48,14 @@
 }
 
 // knowledgeAge returns the time since the copy of the store was last confirmed: the age of the
-// server listing, or of the configuration if that is older. A new instance has the time since
-// its start to get a configuration, and one that peers have announced is fetched from them or by
-// readLateConfig.
+// server listing, or of the configuration if that is older. The first configuration has to be
+// confirmed in the same time after the first listing. One that peers have announced is fetched
+// from them or by readLateConfig.
 func (s *state) knowledgeAge(now time.Time) time.Duration {
 	if s.announcedConfig.isBehind(now) {
 		return s.copyAge(now)
 	}
-	return max(s.copyAge(now), min(s.configAge(now), now.Sub(s.startedAt)))
+	return max(s.copyAge(now), min(s.configAge(now), now.Sub(s.listedAt)))
 }
 
 // rankDelay returns how much longer than the first in rank this instance waits before it
