--- a/core/gateway/reading.go
+++ b/core/gateway/reading.go
@@ -39,7 +39,7 @@
 	switch {
 	case view.IsStoreReader(), overdue, now.Before(s.readUntil):
 		return mode
-	case s.isReading() && !view.IsReadAhead():
+	case s.isReading() && !view.HasReaderAhead():
 		// No instance that ranks before this one reads the store, so that others may depend on it.
 		return mode
 	default:
--- a/core/workset/order.go
+++ b/core/workset/order.go
@@ -107,7 +107,7 @@
 			v.rank, selfFound = i, true
 		}
 		if domain == s.self.Domain && !selfFound && c.heartbeat.ReadsStore && c.heartbeat.ReadAge <= maxReadAge {
-			v.readAhead = true
+			v.readerAhead = true
 		}
 		if !readerFound && !c.heartbeat.StoreUnreachable {
 			readerFound = true
--- a/core/workset/queries.go
+++ b/core/workset/queries.go
@@ -32,9 +32,9 @@
 	role        Role
 	rank        int
 	storeReader bool
-	// readAhead is set if an instance that ranks before this one reads the store.
-	readAhead bool
-	livePeers int
+	// readerAhead is set if an instance that ranks before this one reads the store.
+	readerAhead bool
+	livePeers   int
 	// size is the number of known instances, and heard the number of those in contact.
 	size  int
 	heard int
@@ -56,10 +56,10 @@
 // can reach the store, according to the last heartbeats.
 func (v *View) IsStoreReader() bool { return v.storeReader }
 
-// IsReadAhead reports whether an instance of the failure domain that ranks before this one
+// HasReaderAhead reports whether an instance of the failure domain that ranks before this one
 // reads the store, according to its last heartbeat. All instances there rank before one that
 // leaves.
-func (v *View) IsReadAhead() bool { return v.readAhead }
+func (v *View) HasReaderAhead() bool { return v.readerAhead }
 
 // LivePeerCount returns the number of live instances, without this one.
 func (v *View) LivePeerCount() int { return v.livePeers }
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -497,9 +497,9 @@
 	}
 }
 
-// TestReadAhead guards against several instances of a failure domain that go on reading the
+// TestReaderAhead guards against several instances of a failure domain that go on reading the
 // store, and against none that does because all rely on one that no longer reads it.
-func TestReadAhead(t *testing.T) {
+func TestReaderAhead(t *testing.T) {
 	tests := []struct {
 		name  string
 		reads []bool
@@ -523,7 +523,7 @@
 			}
 			var got []bool
 			for _, s := range newFleet(startTime, heartbeats...) {
-				got = append(got, s.View().IsReadAhead())
+				got = append(got, s.View().HasReaderAhead())
 			}
 			require.Equal(t, test.want, got)
 		})
