tests/integration: count only refusals for lack of contact as such

Cause: quotaCaller, which TestGatewayQuotas uses as well, would count each 503 as a refusal by an instance without contact, and one with another code as wrong. Change: only those that say so are checked. ConfigAge says who uses it.

--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -42,7 +42,8 @@
 	// from earlier releases.
 	DomainSize  int
 	DomainHeard int
-	// ConfigAge is the time since the configuration was last confirmed to be current.
+	// ConfigAge is the time since the configuration was last confirmed to be current. Instances
+	// of earlier releases use it.
 	ConfigAge time.Duration
 	// ReadsStore is set if the sender itself reads the store, and ReadAge is then the time since
 	// its last read. Only these confirm the copies of others: ages that instances take over from
--- a/tests/integration/gateway_quotas_test.go
+++ b/tests/integration/gateway_quotas_test.go
@@ -91,6 +91,9 @@
 			c.wrong.Add(1)
 		}
 	case http.StatusServiceUnavailable:
+		if !strings.Contains(string(body), "has not heard from others") {
+			return
+		}
 		c.unready.Add(1)
 		delay, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 		if err != nil || delay <= 0 || delay > 1 || !strings.Contains(string(body), `"not_ready"`) {
