gateway: test that backups stop reading the store

Cause: changed when an instance reads the store without a test of its own. No change of the product.

--- a/core/gateway/role_test.go
+++ b/core/gateway/role_test.go
@@ -224,3 +224,54 @@
 		})
 	}
 }
+
+// TestBackupStops guards against calls to the store that nobody needs, by instances that go on
+// reading it after their copy was confirmed again, or that begin at their first start because
+// the configuration was not confirmed yet, and against one that stops although no other reads.
+func TestBackupStops(t *testing.T) {
+	tests := []struct {
+		name string
+		// silent is how long the peer that ranks first is silent after the first listing.
+		silent time.Duration
+		// reads is set if that peer reads the store when it is heard again.
+		reads bool
+		// during and after are whether this instance reads the store before the peer is heard
+		// again, and 0.3 s after that.
+		during, after bool
+	}{
+		{"the first confirmation is due", time.Second, true, false, false},
+		{"nothing confirms the copy", 2 * time.Second, true, true, false},
+		{"the other one does not read the store either", 2 * time.Second, false, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, r, clock := newTestLoop()
+			l.state.options.FirstStart = true
+			first := peerHeartbeat("a-2", "a", 10, 0)
+			first.Cores, first.Interval = 2, 10*time.Second
+			pass := func(d time.Duration, heard bool) {
+				for range d / tickInterval {
+					clock.Advance(tickInterval)
+					if heard {
+						l.HandleHeartbeat(first)
+					}
+					runCommands(l)
+					l.state.tick()
+				}
+			}
+			// The process has run for a while before it gets its first copy.
+			first.Ready, first.ReadsStore = false, false
+			pass(600*time.Millisecond, true)
+			l.ApplyListing(follow.Listing{Position: fleet.Position{Revision: 10}, Age: time.Millisecond}, false)
+			l.ApplyConfiguration(&route.Document{Services: []route.Service{{Name: "s"}}})
+			pass(test.silent, false)
+			require.Equal(t, test.during, r.following, "before the other one is heard again")
+			if test.during {
+				l.ApplyChanges(testBatch(10, 10))
+			}
+			first.Ready, first.ReadsStore = true, test.reads
+			pass(300*time.Millisecond, true)
+			require.Equal(t, test.after, r.following, "after that")
+		})
+	}
+}
