gateway: test readers of the store with random instances

Change: five cases with instances of the whole fleet picked at random, up to two thirds refused and four fifths killed, and both at once. A flag -readerseed.

--- a/core/gateway/readers_test.go
+++ b/core/gateway/readers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -36,6 +37,9 @@
 	silentCall = 600 * time.Millisecond
 )
 
+// readerSeed is the first of the seeds of TestReadersOfTheStore.
+var readerSeed = flag.Uint64("readerseed", 1, "first seed of TestReadersOfTheStore")
+
 // errStoreSilent is the failure of a call to a store that does not respond.
 var errStoreSilent = errors.New("the store does not respond")
 
@@ -101,6 +105,7 @@
 	cut map[fleet.Address]bool
 }
 
+// newTestFleet returns a fleet whose random numbers follow from a seed.
 func newTestFleet(seed uint64) *testFleet {
 	f := &testFleet{
 		store:   &sharedStore{revision: 10, version: 1, changed: make(chan struct{})},
@@ -344,6 +349,37 @@
 			return nil
 		}
 	}
+	// anyOf picks instances of the whole fleet at random.
+	anyOf := func(f *testFleet, count int) []*fleetMember {
+		members := slices.Clone(f.members)
+		f.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		return members[:count]
+	}
+	killAny := func(count int) func(f *testFleet) map[fleet.InstanceID]bool {
+		return func(f *testFleet) map[fleet.InstanceID]bool {
+			for _, m := range anyOf(f, count) {
+				f.kill(m)
+			}
+			return nil
+		}
+	}
+	refuseAny := func(count int, access storeAccess) func(f *testFleet) map[fleet.InstanceID]bool {
+		return func(f *testFleet) map[fleet.InstanceID]bool {
+			away := make(map[fleet.InstanceID]bool)
+			for _, m := range anyOf(f, count) {
+				away[m.self.Member.ID] = true
+			}
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			f.store.refuse = func(id fleet.InstanceID) storeAccess {
+				if away[id] {
+					return access
+				}
+				return served
+			}
+			return away
+		}
+	}
 	tests := []struct {
 		name string
 		// trouble begins the trouble and returns the instances that the store refuses, which
@@ -360,6 +396,14 @@
 		{"the first one is killed", kill(1)},
 		{"the first six are killed", kill(6)},
 		{"all but one are killed", kill(perDomain - 1)},
+		{"any third is reset by the store", refuseAny(fleetSize/3, resetByStore)},
+		{"any two thirds get no response of the store", refuseAny(2*fleetSize/3, ignoredByStore)},
+		{"any half is killed", killAny(fleetSize / 2)},
+		{"any four fifths are killed", killAny(4 * fleetSize / 5)},
+		{"any half is killed, and any third is refused", func(f *testFleet) map[fleet.InstanceID]bool {
+			killAny(fleetSize / 2)(f)
+			return refuseAny(fleetSize/3, resetByStore)(f)
+		}},
 		{"the first one is cut off from the others", cutOff(1)},
 		{"the first five are cut off from the others", cutOff(5)},
 		{"all are cut off from each other", cutOff(perDomain)},
@@ -368,7 +412,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			for i, pause := range []time.Duration{300 * time.Millisecond, time.Second, 4 * time.Second} {
 				synctest.Test(t, func(t *testing.T) {
-					f := newTestFleet(uint64(i))
+					f := newTestFleet(*readerSeed + uint64(i))
 					time.Sleep(12 * time.Second)
 					for _, m := range f.members {
 						require.True(t, m.loop.View().Loaded(), "%s has a copy", m.self.Member.ID)
