gateway: lock the random numbers of the fleet in TestReadersOfTheStore

Only the test is at fault; the picks now hold the lock too.

go test -race ./core/gateway -run TestReadersOfTheStore passes on x86-64 (101 s).

--- a/core/gateway/readers_test.go
+++ b/core/gateway/readers_test.go
@@ -352,6 +352,8 @@
 	// anyOf picks instances of the whole fleet at random.
 	anyOf := func(f *testFleet, count int) []*fleetMember {
 		members := slices.Clone(f.members)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		f.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 		return members[:count]
 	}
