--- a/review/_kit3/case_left_client.go
+++ b/review/_kit3/case_left_client.go
@@ -21,7 +21,7 @@
 	goneSlack = 500 * time.Millisecond
 	few       = 5
 	// leavingRounds is how often a client of each machine leaves.
-	leavingRounds = 24
+	leavingRounds = 20
 	// largeStability is a bound of kuvuka-gw-large.
 	largeStability = 4 * time.Second
 )
@@ -83,7 +83,7 @@
 			}()
 		}
 		clients.Wait()
-		time.Sleep(3 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/review/_kit3/main.go
+++ b/review/_kit3/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -59,6 +61,8 @@
 		broken bool
 		err    error
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	done := make(chan result, 1)
 	go func() {
 		broken, err := cases[name](r)
@@ -76,6 +80,9 @@
 		}
 		record.resultf("the rule held")
 		return held
+	case <-ended:
+		record.resultf("could not run: it was ended by a signal")
+		return failed
 	case <-time.After(limit):
 		record.resultf("could not run: no result after %v", limit)
 		return failed
