--- a/review/_kit3/case_slow_upload.go
+++ b/review/_kit3/case_slow_upload.go
@@ -31,7 +31,7 @@
 	brokenOff                   string
 }
 
-// slowUpload stops one machine with SIGTERM while clients upload through it, and lets two of
+// slowUpload stops one machine with SIGTERM while clients upload through it, and lets three of
 // six servers read slowly: they work on an upload as it arrives. It looks for uploads that the
 // machine broke off although their servers were at work and no deadline was reached.
 func slowUpload(r *caseRun) (bool, error) {
@@ -57,7 +57,7 @@
 				})
 			},
 			pause: func() time.Duration {
-				if r.trouble && i < 2 {
+				if r.trouble && i < 3 {
 					return readPause
 				}
 				return 0
