--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -6,4 +6,4 @@
   echo "build first: fleetbench build, then review/build-3.sh"
   exit 2
 fi
-exec target/review-3/cases weights "$folder"
+exec target/review-3/cases stale-server "$folder"
--- a/review/_kit3/case_left_client.go
+++ b/review/_kit3/case_left_client.go
@@ -15,13 +15,13 @@
 	pipelined = 48
 	// maxStay is the latest time at which a client leaves. The site lets clients leave within
 	// half of the objective, which is 1 s.
-	maxStay = 150 * time.Millisecond
+	maxStay = 30 * time.Millisecond
 	// goneSlack is how much later than the close requests may reach a server, and few how
 	// many may do so nevertheless.
 	goneSlack = 500 * time.Millisecond
 	few       = 5
 	// leavingRounds is how often a client of each machine leaves.
-	leavingRounds = 16
+	leavingRounds = 24
 	// largeStability is a bound of kuvuka-gw-large.
 	largeStability = 4 * time.Second
 )
