dispatch: a server's own 503 is no promise that a request has not run

Callers: a request that must not run twice was answered 503 although a server had run it.

Cause: a server states only with Galenaridge-Not-Executed, or with 421, that it did not run a request. Any complete response of a server was final, and its own 503, 429 or 408 was passed on with a meaning that it does not have.

Change: attempt.Answer replaces such a response to a request that is not idempotent by a refusal, 502 upstream_failed with outcome unknown and none of the server's header fields. The attempt counts as failed and is not retried; the log keeps the server's status. Responses to idempotent requests stay. The product's own interface states the outcome apart from the status and already kept it; two rows of its tests say so.

--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -201,7 +201,8 @@
 		},
 	})
 	now := e.options.Clock.Now()
-	result := balanceResult(response, evidence)
+	answer := attempt.Answer(response, !request.Protected)
+	result := balanceResult(answer, evidence)
 	chosen.Observe(now, balance.Notice{Leaving: evidence.Draining, Pause: evidence.RetryAfter})
 	if evidence.Complete {
 		chosen.RecordResponseSize(len(response.Body))
@@ -220,10 +221,13 @@
 		FailureProbability: chosen.FailureProbability,
 		ServerRequests:     chosen.ServerRequests,
 	}
-	if evidence.Err != nil {
+	switch {
+	case evidence.Err != nil:
 		record.Err = evidence.Err.Error()
+	case answer.Code != response.Code:
+		record.Err = answer.Message
 	}
-	return attemptOutcome{response: response, evidence: evidence, record: record}
+	return attemptOutcome{response: answer, evidence: evidence, record: record}
 }
 
 // mayRetry reports whether another attempt may follow a finished one. If it returns
--- a/core/dispatch/engine_test.go
+++ b/core/dispatch/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -57,7 +58,7 @@
 
 func respondWith(code int) attemptStep {
 	return func(_ context.Context, a Attempt) (exchange.Response, attempt.Evidence) {
-		return exchange.Response{Outcome: fleet.Done, Status: code, Server: a.Server.ID}, attempt.Evidence{Written: true, Complete: true}
+		return exchange.Response{Outcome: fleet.Done, Status: code, Headers: []exchange.Header{{Name: "Signature", Value: "s"}}, Server: a.Server.ID}, attempt.Evidence{Written: true, Complete: true}
 	}
 }
 
@@ -208,6 +209,48 @@
 	}
 }
 
+// TestServeAfterStatusOfServer guards against a status of a server's application that callers
+// take for the promise that a request that must not run twice has not run.
+func TestServeAfterStatusOfServer(t *testing.T) {
+	tests := []struct {
+		name     string
+		path     string
+		steps    []attemptStep
+		status   int
+		code     exchange.Code
+		outcome  fleet.Outcome
+		attempts int
+		// result is that of the last attempt.
+		result balance.Result
+	}{
+		{"503, not idempotent", "/write/", []attemptStep{respondWith(503), respondWith(200)}, 502, exchange.UpstreamFailed, fleet.Unknown, 1, balance.Failed},
+		{"429, not idempotent", "/write/", []attemptStep{respondWith(429), respondWith(200)}, 502, exchange.UpstreamFailed, fleet.Unknown, 1, balance.Failed},
+		{"408, not idempotent", "/write/", []attemptStep{respondWith(408), respondWith(200)}, 502, exchange.UpstreamFailed, fleet.Unknown, 1, balance.Failed},
+		{"declined, then 503", "/write/", []attemptStep{declined, respondWith(503)}, 502, exchange.UpstreamFailed, fleet.Unknown, 2, balance.Failed},
+		{"declined, not idempotent", "/write/", []attemptStep{declined}, 503, exchange.NoCapacity, fleet.NotRun, 2, balance.Shed},
+		{"409, not idempotent", "/write/", []attemptStep{respondWith(409)}, 409, "", fleet.Done, 1, balance.Succeeded},
+		{"504, not idempotent", "/write/", []attemptStep{respondWith(504)}, 504, "", fleet.Done, 1, balance.Failed},
+		{"503, idempotent", "/read/", []attemptStep{respondWith(503)}, 503, "", fleet.Done, 2, balance.Failed},
+		{"429, idempotent", "/read/", []attemptStep{respondWith(429)}, 429, "", fleet.Done, 1, balance.Succeeded},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e, sender, journal := newEngine(t, 3, ampleQuota, test.steps...)
+			response := e.Serve(context.Background(), requestFor(test.path))
+			require.Equal(t, test.status, response.Status)
+			require.Equal(t, test.code, response.Code)
+			require.Equal(t, test.outcome, response.Outcome)
+			require.Equal(t, test.attempts, sender.count())
+			last := journal.records[0].Attempts[len(journal.records[0].Attempts)-1]
+			require.Equal(t, test.result, last.Result)
+			if test.code == exchange.UpstreamFailed {
+				require.Contains(t, last.Err, strconv.Itoa(last.Status), "the log names the status of the server")
+				require.Empty(t, response.Headers, "no signature of the server stands beside another status")
+			}
+		})
+	}
+}
+
 // leaving responds and says that the server leaves; pausing sheds and asks for a pause.
 func leaving(_ context.Context, a Attempt) (exchange.Response, attempt.Evidence) {
 	return exchange.Response{Outcome: fleet.Done, Status: 200, Server: a.Server.ID}, attempt.Evidence{Written: true, Complete: true, Draining: true}
--- a/core/exchange/code.go
+++ b/core/exchange/code.go
@@ -23,6 +23,9 @@
 	// BadAnswer means that the response of the server is malformed or belongs to
 	// another request.
 	BadAnswer Code = "bad_answer"
+	// UpstreamFailed means that a server ran a request that is not idempotent and answered
+	// with a status that would tell the caller that it has not run.
+	UpstreamFailed Code = "upstream_failed"
 	// TokenRequired means that a request has an idempotency key but no token.
 	TokenRequired Code = "token_required"
 	// TokenInvalid means that the home of the token did not issue it.
@@ -67,7 +70,7 @@
 // ran.
 func (c Code) uncertain() bool {
 	switch c {
-	case RecordsFull, HomeLost, UpstreamLost, UpstreamTimeout, BadAnswer, Running, TokenExpired, TokenInvalid:
+	case RecordsFull, HomeLost, UpstreamLost, UpstreamTimeout, UpstreamFailed, BadAnswer, Running, TokenExpired, TokenInvalid:
 		return true
 	default:
 		return false
@@ -89,7 +92,7 @@
 		return 408
 	case HeaderTooLarge:
 		return 431
-	case BadAnswer:
+	case BadAnswer, UpstreamFailed:
 		return 502
 	case TooLarge:
 		return 413
@@ -103,3 +106,14 @@
 		return 503
 	}
 }
+
+// PromisesNotRun reports whether callers that route by host take a status as the promise
+// that the request has not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case 408, 421, 429, 503:
+		return true
+	default:
+		return false
+	}
+}
--- a/core/traffic/engine_test.go
+++ b/core/traffic/engine_test.go
@@ -201,6 +201,11 @@
 	return exchange.Response{Outcome: fleet.Done, Status: 500}, attempt.Evidence{Written: true, Complete: true}
 }
 
+// unavailable responds with a status that a refusal has as well; the outcome tells them apart.
+func unavailable(traffic.Attempt) (exchange.Response, attempt.Evidence) {
+	return exchange.Response{Outcome: fleet.Done, Status: 503}, attempt.Evidence{Written: true, Complete: true}
+}
+
 func loseResponse(traffic.Attempt) (exchange.Response, attempt.Evidence) {
 	return exchange.Refuse(exchange.UpstreamLost, ""), attempt.Evidence{Written: true}
 }
@@ -228,6 +233,7 @@
 	}{
 		{"protected succeeds", "POST", sends{succeed}, fleet.Done, 200, 1},
 		{"protected gets a server error", "POST", sends{fail}, fleet.Done, 500, 1},
+		{"protected gets a 503 of the server", "POST", sends{unavailable, succeed}, fleet.Done, 503, 1},
 		{"protected is lost", "POST", sends{loseResponse, succeed}, fleet.Unknown, 504, 1},
 		{"protected is refused by the first server", "POST", sends{refuse, succeed}, fleet.Done, 200, 2},
 		{"protected must not be written to the first server", "POST", sends{denyWrite, succeed}, fleet.Done, 200, 2},
@@ -268,6 +274,7 @@
 func TestOwners(t *testing.T) {
 	done := peerReply{exchange.Response{Outcome: fleet.Done, Status: 200}, true}
 	failed := peerReply{exchange.Response{Outcome: fleet.Done, Status: 500}, true}
+	unavailable := peerReply{exchange.Response{Outcome: fleet.Done, Status: 503}, true}
 	notRun := peerReply{exchange.Refuse(exchange.Overloaded, ""), true}
 	noReply := peerReply{exchange.Refuse(exchange.UpstreamLost, ""), true}
 	invalid := peerReply{exchange.Refuse(exchange.BadRequest, ""), true}
@@ -283,6 +290,7 @@
 		{"protected runs at the first owner", "POST", []peerReply{done, done, done}, fleet.Done, 200, 1},
 		{"not run at the first owner leads to the next", "POST", []peerReply{notRun, done, done}, fleet.Done, 200, 2},
 		{"an unreached owner leads to the next", "POST", []peerReply{unreached, done, done}, fleet.Done, 200, 2},
+		{"a 503 of the server is final", "POST", []peerReply{unavailable, done, done}, fleet.Done, 503, 1},
 		{"a lost reply is final", "POST", []peerReply{noReply, done, done}, fleet.Unknown, 504, 1},
 		{"a lost reply after not run is final", "POST", []peerReply{notRun, noReply, done}, fleet.Unknown, 504, 2},
 		{"not run everywhere", "POST", []peerReply{notRun, notRun, notRun}, fleet.NotRun, 503, 3},
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -26,6 +26,9 @@
 	Shed
 	// InternalError responds with status 500.
 	InternalError
+	// OwnUnavailable runs requests and responds with status 503 of the application, which does
+	// not mark them as not executed.
+	OwnUnavailable
 	// Truncate closes the connection in the middle of the body.
 	Truncate
 	// Malformed sends bytes that are not an HTTP response.
@@ -333,6 +336,8 @@
 	switch fault {
 	case InternalError:
 		return writeText(conn, formatHead("500 Internal Server Error", id, signature, "Content-Length: 4")+"\r\noops")
+	case OwnUnavailable:
+		return writeText(conn, formatHead("503 Service Unavailable", id, signature, "Retry-After: 0.1", "Content-Length: 4")+"\r\noops")
 	case Truncate:
 		writeText(conn, response[:len(response)-3])
 		return false
