gateway: keep missing servers by the last sight of an outage, not by the listing

Cause: an instance whose calls get no response cannot tell its own cut from an outage of the store, in which entries of live servers lapse. What the first listing lacks was kept for 2.2 s from the listing on. The listing comes up to 1.5 s after the end of a cut: a lost call of 0.7 s and a pause of 0.8 s.

Change: missing servers stay in use until the bound stability_window_ms, less 0.15 s, after the start of the latest call without a response, and 2.2 s after the listing at most. Neither a cut nor an outage had ended at that start, so the bound holds whatever is lost afterwards. So that live servers still have two seconds, readers begin a call each 0.8 s while the store is silent, and a watch after a failure ends at once. Instances that call less often take the time from heartbeats and listings of peers; a peer that followed the store all the time says that its listing is settled, and nothing is kept after it. The first listing after a restore counts from the last confirmation of the copy.

Tests that change: TestStoreModel required 2.2 s from the first listing of a new era in each instance, which cannot be told from a cut if the instance had no contact; it requires 2.2 s from the restore, and from an instance without contact as long as the bound allows. Three tests in copy_test.go give a listing after an outage the failed call that precedes it in the program.

--- a/core/follow/document_fetcher.go
+++ b/core/follow/document_fetcher.go
@@ -227,6 +227,9 @@
 		d.options.Sink.ApplyConfiguration(listing.Routes)
 	default:
 		listing.Age += t.age
+		if listing.OutageAge > 0 {
+			listing.OutageAge += t.age
+		}
 		d.options.Sink.ApplyListing(listing, false)
 	}
 	return nil
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -104,7 +105,7 @@
 	s.changed += len(batch.Changes)
 }
 
-func (s *recordingSink) HandleStoreLost(error) {
+func (s *recordingSink) HandleStoreLost(error, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lost++
@@ -282,6 +283,64 @@
 	target.eventually(t, "a change in the new era", func(s *recordingSink) bool { return s.changed == 1 })
 }
 
+// silentStore gives no response to calls that begin before its return.
+type silentStore struct {
+	*fakeStore
+	returnsAt time.Time
+	// calledAt holds the starts of the calls.
+	calledAt []time.Time
+}
+
+func (s *silentStore) call(limit time.Duration) error {
+	s.calledAt = append(s.calledAt, time.Now())
+	if time.Now().Before(s.returnsAt) {
+		time.Sleep(limit)
+		return errors.New("no response")
+	}
+	return nil
+}
+
+func (s *silentStore) List(ctx context.Context) (Listing, error) {
+	if err := s.call(700 * time.Millisecond); err != nil {
+		return Listing{}, err
+	}
+	return s.fakeStore.List(ctx)
+}
+
+func (s *silentStore) Watch(ctx context.Context, after fleet.Position, wait time.Duration) (Batch, error) {
+	if err := s.call(wait + 400*time.Millisecond); err != nil {
+		return Batch{}, err
+	}
+	return s.fakeStore.Watch(ctx, after, wait)
+}
+
+// TestReturnIsSeen guards against a reader that sees the return of a silent store so late that
+// there is no time left for live servers to write their lapsed entries again.
+func TestReturnIsSeen(t *testing.T) {
+	for outage := 3 * time.Second; outage < 5*time.Second; outage += 40 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			source, target := &silentStore{fakeStore: &fakeStore{position: fleet.Position{Revision: 10}}}, &recordingSink{}
+			f := New(Options{Store: source, Sink: target, Clock: realTimer{clockwork.NewRealClock()}})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				f.Run(ctx)
+			}()
+			f.SetMode(Reader)
+			time.Sleep(100 * time.Millisecond)
+			source.returnsAt = time.Now().Add(outage)
+			time.Sleep(outage + 900*time.Millisecond)
+			cancel()
+			<-done
+			first := slices.IndexFunc(source.calledAt, func(at time.Time) bool { return !at.Before(source.returnsAt) })
+			require.Positive(t, first)
+			require.LessOrEqual(t, source.calledAt[first].Sub(source.calledAt[first-1]), 4*readerBackoff, "outage of %v", outage)
+			require.Equal(t, []bool{false, true}, target.listed, "a listing marked as one after an outage")
+		})
+	}
+}
+
 // TestFailuresInEachMode guards against a store that all instances of a fleet call often while
 // it is down, and against a loss that is reported once and then forgotten.
 func TestFailuresInEachMode(t *testing.T) {
--- a/core/follow/follower.go
+++ b/core/follow/follower.go
@@ -19,10 +19,17 @@
 	// batchDelay is the time between a change and the next watch, so that changes
 	// made shortly after each other are read by one call.
 	batchDelay = 60 * time.Millisecond
-	// readerBackoff and backupBackoff are the times between the first failed call to the store
-	// and the next one. They double with each further failure, up to four times as long.
+	// probeWait is the wait of a watch after a failed call. It ends at once, so that the return
+	// of the store is seen as soon as it can be.
+	probeWait = time.Millisecond
+	// readerBackoff and backupBackoff are the times between the starts of the first failed call
+	// to the store and of the next one. They double with each further failure, up to four times
+	// as long. Four times readerBackoff bounds how long the return of the store, or of the path
+	// to it, stays unseen by a reader; a call that is longer counts in place of it.
 	readerBackoff = 200 * time.Millisecond
 	backupBackoff = 600 * time.Millisecond
+	// minBackoff is the shortest time from the end of a failed call to the next one.
+	minBackoff = 100 * time.Millisecond
 	// outageAfter is how long the store must have been unavailable before the entries of
 	// live servers may have lapsed.
 	outageAfter = time.Second
@@ -70,6 +77,8 @@
 	failingSince time.Time
 	// failures counts the calls that failed since the last success.
 	failures int
+	// calledAt is when the latest call began.
+	calledAt time.Time
 }
 
 // New returns a follower that does not read the store yet.
@@ -154,12 +163,17 @@
 // readStore makes one call to the store: a complete listing if there is none to start
 // from, or else a watch for changes.
 func (f *Follower) readStore(ctx context.Context) error {
+	f.calledAt = f.options.Clock.Now()
 	if !f.listed {
 		return f.readListing(ctx)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+transferTimeout)
+	wait := watchWait
+	if f.failures > 0 {
+		wait = probeWait
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+transferTimeout)
 	defer cancel()
-	batch, err := f.options.Store.Watch(callCtx, f.position, watchWait)
+	batch, err := f.options.Store.Watch(callCtx, f.position, wait)
 	if errors.Is(err, ErrCompacted) {
 		f.listed = false
 		return nil
@@ -225,7 +239,7 @@
 	if f.failingSince.IsZero() {
 		f.failingSince = now
 	}
-	f.options.Sink.HandleStoreLost(err)
+	f.options.Sink.HandleStoreLost(err, f.calledAt)
 	if now.Sub(f.failingSince) > outageAfter {
 		// Changes made while the store was unavailable may have been dropped from its
 		// history. In a complete listing, servers whose entries lapsed are missing.
@@ -236,5 +250,6 @@
 	if f.mode == Backup {
 		backoff = backupBackoff
 	}
-	_ = f.options.Clock.Sleep(ctx, backoff<<min(f.failures-1, 2))
+	backoff = backoff<<min(f.failures-1, 2) - now.Sub(f.calledAt)
+	_ = f.options.Clock.Sleep(ctx, max(backoff, minBackoff))
 }
--- a/core/follow/source.go
+++ b/core/follow/source.go
@@ -61,6 +61,12 @@
 	// Age is the time since the listing was confirmed; zero if it comes from the store
 	// itself.
 	Age time.Duration
+	// Settled is set by a peer if the servers that the listing lacks have left: none of their
+	// entries can have lapsed in an outage of the store.
+	Settled bool
+	// OutageAge is the time since the peer knew for the last time that the store, or its path to
+	// it, was out of service. It is valid if it is positive.
+	OutageAge time.Duration
 	// Partial is set if the listing has Changes in place of Servers and Routes.
 	Partial bool
 	Changes []Change
@@ -100,8 +106,8 @@
 	// RefuseConfiguration receives the reason why a configuration that was read by
 	// itself cannot be used.
 	RefuseConfiguration(refused *ConfigError)
-	// HandleStoreLost is called at each failure, HandleStoreRegained at the next success, with
-	// the time since the first failure.
-	HandleStoreLost(err error)
+	// HandleStoreLost is called at each failure with the time at which the call began,
+	// HandleStoreRegained at the next success with the time since the first failure.
+	HandleStoreLost(err error, calledAt time.Time)
 	HandleStoreRegained(after time.Duration)
 }
--- a/core/gateway/announcement_test.go
+++ b/core/gateway/announcement_test.go
@@ -152,7 +152,7 @@
 			runCommands(l)
 			require.True(t, r.following, "an instance that is alone reads the store")
 			if test.lost {
-				l.HandleStoreLost(errors.New("the store returned status 503"))
+				l.HandleStoreLost(errors.New("the store returned status 503"), clock.Now())
 			}
 			for at := time.Duration(0); at < test.behind; at += tickInterval {
 				if test.confirms && !test.lost {
--- a/core/gateway/commands.go
+++ b/core/gateway/commands.go
@@ -44,16 +44,8 @@
 }
 
 // replaceCopy replaces the copy of the store with a complete listing that is not older.
-// After an outage of the store, and in the first listing of a new era, servers that the
-// listing lacks are kept for lapseGrace. The listing of a peer does not say whether it is
-// one after an outage, so it counts as one.
 func (s *state) replaceCopy(now time.Time, listing follow.Listing, outage bool) {
-	keepUntil := time.Time{}
-	restored := !s.position.IsZero() && listing.Position.Era > s.position.Era
-	afterOutage := outage || listing.Age > 0
-	if restored || afterOutage && s.copyRecentlyOld(now) {
-		keepUntil = now.Add(lapseGrace)
-	}
+	keepUntil := s.missingKeptUntil(now, listing, outage)
 	s.registry.Replace(withPositions(listing.Servers, listing.Position), listing.Position, keepUntil)
 	s.applyServers()
 	s.adoptRoutes(listing.Routes)
@@ -66,6 +58,66 @@
 	s.options.Events.ListingApplied(listing.Position, s.registry.View().ServerCount(), outage)
 }
 
+// missingKeptUntil returns the time until which servers that a complete listing lacks stay in
+// use, zero if they have left. After an outage of the store, and in the first listing of a new
+// era, the entries of live servers may be missing until they are written again. The listing of a
+// peer that is not settled counts as one after an outage.
+//
+// An instance that was cut off from the store alone sees the same as in an outage of the store,
+// but the servers that the listing lacks have left. Neither had ended at outageSeenAt. With an
+// end that is measured from there, no server that has left is used later than SettleTime after
+// the path is whole again, and lapsed ones stay until they had about two seconds since the
+// return of the store to write their entries.
+func (s *state) missingKeptUntil(now time.Time, listing follow.Listing, outage bool) time.Time {
+	restored := !s.position.IsZero() && listing.Position.Era > s.position.Era
+	afterOutage := (outage || listing.Age > 0) && s.copyRecentlyOld(now)
+	if listing.Settled || !restored && !afterOutage {
+		return time.Time{}
+	}
+	if listing.OutageAge > 0 && s.reliesOnPeers() {
+		s.recordOutage(now.Add(-listing.OutageAge))
+	}
+	s.settledAt = now.Add(lapseGrace)
+	seenAt := s.outageSeenAt
+	if restored && s.confirmedAt.After(seenAt) {
+		// The copy was confirmed in the earlier era, before the restore.
+		seenAt = s.confirmedAt
+	}
+	if end := s.graceEnd(seenAt); end.After(now) {
+		return end
+	}
+	return time.Time{}
+}
+
+// graceEnd returns the time until which missing servers may stay in use after an outage that
+// was last seen at a time.
+func (s *state) graceEnd(seenAt time.Time) time.Time {
+	return fleet.Earlier(seenAt.Add(s.options.SettleTime-settleMargin), s.settledAt)
+}
+
+// recordOutage records that the store, or the path to it, was out of service at a time. A call
+// that was lost before the end of an outage may be noticed after the first listing, which a peer
+// read: then the outage ended later than was known, and missing servers stay in use for longer.
+func (s *state) recordOutage(at time.Time) {
+	if !at.After(s.outageSeenAt) {
+		return
+	}
+	s.outageSeenAt = at
+	s.registry.KeepMissing(s.graceEnd(at))
+}
+
+// reliesOnPeers reports whether what peers know of an outage counts for this instance. It calls
+// the store too seldom, or not at all, to see the end of an outage in time. The paths of peers
+// may be cut off for longer than its own, so a reader goes by its own calls.
+func (s *state) reliesOnPeers() bool { return s.reading != follow.Reader }
+
+// isSettled reports whether the servers that the listing lacks have left: no entry of a live
+// server can have lapsed, or it has been written again. An instance knows it only once it has
+// followed the store for long enough.
+func (s *state) isSettled(now time.Time) bool {
+	return !s.position.IsZero() && !s.copyRecentlyOld(now) && !now.Before(s.settledAt) && now.Sub(s.listedAt) >= lapseGrace
+}
+
 // withPositions returns servers with the position of the listing in place of positions that
 // are not known, since earlier releases do not send them.
 func withPositions(servers []registry.Server, position fleet.Position) []registry.Server {
@@ -197,6 +249,9 @@
 		now := s.options.Clock.Now()
 		reply, joined := s.workingSet.HandleHeartbeat(now, heartbeat)
 		s.compareCopy(now, heartbeat)
+		if heartbeat.OutageAge > 0 && s.reliesOnPeers() {
+			s.recordOutage(now.Add(-heartbeat.OutageAge))
+		}
 		if joined {
 			s.options.Events.PeerJoined(heartbeat.Member)
 		}
--- a/core/gateway/copy_test.go
+++ b/core/gateway/copy_test.go
@@ -23,7 +23,7 @@
 	runCommands(l)
 	l.state.tick()
 	require.True(t, r.following)
-	l.HandleStoreLost(errors.New("the store returned status 503"))
+	l.HandleStoreLost(errors.New("the store returned status 503"), clock.Now())
 	runCommands(l)
 	for range 5 {
 		clock.Advance(200 * time.Millisecond)
@@ -85,6 +85,9 @@
 	}
 }
 
+// errNoResponse is the error of a call to the store before a listing after an outage.
+var errNoResponse = errors.New("no response")
+
 // TestServersAfterAnOutage guards against dropping live servers whose entries lapsed
 // while the store was unavailable, and against keeping servers that have left.
 func TestServersAfterAnOutage(t *testing.T) {
@@ -93,6 +96,7 @@
 	l.ApplyListing(follow.Listing{Position: fleet.Position{Revision: 10}, Servers: []registry.Server{one, two}}, false)
 	runCommands(l)
 	clock.Advance(5 * time.Second)
+	l.HandleStoreLost(errNoResponse, clock.Now())
 	l.ApplyListing(follow.Listing{Position: fleet.Position{Revision: 20}}, true)
 	runCommands(l)
 	require.True(t, l.View().IsListedLive(one.Incarnation), "a server with a lapsed entry is kept at first")
@@ -134,6 +138,7 @@
 				}
 				l.state.tick()
 			}
+			l.HandleStoreLost(errNoResponse, clock.Now())
 			l.ApplyListing(follow.Listing{Position: fleet.Position{Revision: 20}}, true)
 			runCommands(l)
 			require.Equal(t, test.want, l.View().IsListedLive(one.Incarnation))
@@ -196,6 +201,7 @@
 	runCommands(peer)
 	readerClock.Advance(5 * time.Second)
 	peerClock.Advance(5 * time.Second)
+	reader.HandleStoreLost(errNoResponse, readerClock.Now())
 	reader.ApplyListing(listing(20), true)
 	runCommands(reader)
 	require.True(t, reader.View().IsListedLive(one.Incarnation), "kept by the reader")
--- a/core/gateway/loop.go
+++ b/core/gateway/loop.go
@@ -57,6 +57,11 @@
 	// ran again after a gap of more than freezeGap.
 	activeAt  time.Time
 	resumedAt time.Time
+	// outageSeenAt is when the latest call to the store began that got no response, of this
+	// instance or, while it is a backup, of a peer.
+	outageSeenAt time.Time
+	// settledAt is when the servers that the last listing lacks have left or are listed again.
+	settledAt time.Time
 	// copyOldAt is the last time at which the copy was older than oldCopyAge.
 	copyOldAt time.Time
 	startedAt time.Time
@@ -103,6 +108,9 @@
 	if options.Quotas == nil {
 		options.Quotas = quota.New(quota.Options{Self: options.Self.Member, Start: options.Clock.Now()})
 	}
+	if options.SettleTime <= 0 {
+		options.SettleTime = defaultSettleTime
+	}
 	l := &Loop{options: options, commands: make(chan command, queueSize), loaded: make(chan struct{})}
 	l.state = state{
 		options:  options,
@@ -195,6 +203,8 @@
 
 		refused:      s.refusedConfig,
 		configBehind: s.configBehind(now),
+		settled:      s.isSettled(now),
+		outageSeenAt: s.outageSeenAt,
 		publishedAt:  now,
 		stopPlan:     s.stopPlan,
 	}
--- a/core/gateway/options.go
+++ b/core/gateway/options.go
@@ -98,6 +98,9 @@
 	Events        Events
 	// Quota is the retry quota of the whole fleet. Each instance uses a part of it.
 	Quota retry.Quota
+	// SettleTime is the time after the end of a disruption from which on no server may be used
+	// that has left; a default if it is zero.
+	SettleTime time.Duration
 	// Floor is the share of the servers of a service that are kept in use; a default if it
 	// is zero.
 	Floor float64
@@ -144,6 +147,11 @@
 	// lapseGrace is how long a server that is missing after an outage or a restore of the
 	// store is kept. A live server renews its entry within about two seconds.
 	lapseGrace = 2200 * time.Millisecond
+	// defaultSettleTime is the SettleTime for a platform that does not set one.
+	defaultSettleTime = 3 * time.Second
+	// settleMargin is how long before the end of SettleTime the last missing server is removed.
+	// It covers the tick that removes it, and requests on their way to it.
+	settleMargin = 150 * time.Millisecond
 	// oldCopyAge is the age at which the copy counts as old. At this age, the store
 	// has not confirmed the copy to any instance for the duration of several watches.
 	oldCopyAge = 2 * time.Second
--- a/core/gateway/reading.go
+++ b/core/gateway/reading.go
@@ -67,6 +67,15 @@
 // isReading reports whether this instance reads the store.
 func (s *state) isReading() bool { return s.reading != follow.Off }
 
+// ownOutageSeenAt returns outageSeenAt for the heartbeats of an instance that calls the store
+// often enough for others to rely on it, and zero for others.
+func (s *state) ownOutageSeenAt() time.Time {
+	if s.reading != follow.Reader || !s.storeLost {
+		return time.Time{}
+	}
+	return s.outageSeenAt
+}
+
 // readsStore reports whether this instance confirms the copies of others: it reads the store,
 // and its latest call succeeded.
 func (s *state) readsStore(now time.Time) bool {
@@ -128,8 +137,9 @@
 }
 
 // HandleStoreLost implements follow.Sink.
-func (l *Loop) HandleStoreLost(err error) {
+func (l *Loop) HandleStoreLost(err error, calledAt time.Time) {
 	l.submit(context.Background(), func(s *state) {
+		s.recordOutage(calledAt)
 		if !s.storeLost {
 			s.storeLost = true
 			s.options.Events.StoreLost(err)
--- a/core/gateway/role.go
+++ b/core/gateway/role.go
@@ -31,6 +31,7 @@
 		Ready:            s.loaded() && s.stopPlan == nil,
 		Slow:             s.lag.slow,
 		StoreUnreachable: s.isReading() && s.storeLost,
+		OutageSeenAt:     s.ownOutageSeenAt(),
 		RequestRate:      s.requestRate,
 		Version:          s.routes.Version(),
 		Position:         s.position,
--- a/core/gateway/store_model_test.go
+++ b/core/gateway/store_model_test.go
@@ -55,6 +55,8 @@
 	eras map[fleet.Era][]modelEvent
 	// lastBefore holds the number of the last write before each era.
 	lastBefore map[fleet.Era]int
+	// restoredAt holds the time at which each era began.
+	restoredAt map[fleet.Era]time.Time
 	// latest holds the last write of each server, also if a restore has lost it.
 	latest map[fleet.ServerID]modelEvent
 	// startedAt holds the latest start of each server. A server whose entry was removed
@@ -88,6 +90,7 @@
 	events := s.eras[s.era]
 	s.era++
 	s.lastBefore[s.era] = s.sequence
+	s.restoredAt[s.era] = time.Now()
 	s.eras[s.era] = slices.Clone(events[:max(len(events)-lost, 0)])
 }
 
@@ -200,9 +203,11 @@
 	// known holds the incarnations that this process has ever listed. It cannot apply the
 	// removal of another one, since a listing does not show it.
 	known map[registry.Incarnation]bool
-	// position and live are the position and the live servers at the last check.
-	position fleet.Position
-	live     []registry.Incarnation
+	// position, live and confirmedAt are the position, the live servers and the time at which the
+	// copy was last confirmed, at the last check.
+	position    fleet.Position
+	live        []registry.Incarnation
+	confirmedAt time.Time
 	// keptUntil holds the servers that were live when the era rose, and the time until which
 	// they must stay in use.
 	keptUntil map[registry.Incarnation]time.Time
@@ -502,12 +507,13 @@
 	content := p.model.store.content(position)
 	if !p.position.IsZero() && position.Era > p.position.Era {
 		clear(p.keptUntil)
+		until := p.mustKeepUntil(position.Era)
 		for _, incarnation := range p.live {
-			p.keptUntil[incarnation] = time.Now().Add(lapseGrace)
+			p.keptUntil[incarnation] = until
 		}
 	}
 	require.False(t, position.Before(p.position), "%s went back from %v to %v", p.id, p.position, position)
-	p.position, p.live = position, nil
+	p.position, p.live, p.confirmedAt = position, nil, state.confirmedAt
 	used := make(map[fleet.ServerID]registry.Server)
 	for _, server := range p.loop.View().Registry().Servers("s") {
 		used[server.ID], p.known[server.Incarnation] = server, true
@@ -539,6 +545,16 @@
 	}
 }
 
+// mustKeepUntil returns the time until which this process, which now has the first listing of an
+// era, must keep servers that the listing lacks: live servers have written their entries again
+// lapseGrace after the restore. A process that knows only that the restore came after its copy was
+// last confirmed cannot tell it from a cut of its own path, after which a server that left must
+// not be used for longer.
+func (p *modelProcess) mustKeepUntil(era fleet.Era) time.Time {
+	until := fleet.Earlier(time.Now(), p.model.store.restoredAt[era]).Add(lapseGrace)
+	return fleet.Earlier(until, p.confirmedAt.Add(defaultSettleTime-settleMargin))
+}
+
 // checkKept checks that the servers that were live before a restore stay in use until the end
 // of the grace period, unless the store lists them otherwise or they were written again.
 func (p *modelProcess) checkKept(t require.TestingT, used map[fleet.ServerID]registry.Server) {
@@ -730,7 +746,7 @@
 func runStoreModel(t *rapid.T, restores bool) {
 	m := &storeModel{
 		restores:  restores,
-		store:     &modelStore{eras: make(map[fleet.Era][]modelEvent), lastBefore: make(map[fleet.Era]int), latest: make(map[fleet.ServerID]modelEvent), startedAt: make(map[fleet.ServerID]registry.StartTime)},
+		store:     &modelStore{eras: make(map[fleet.Era][]modelEvent), lastBefore: make(map[fleet.Era]int), restoredAt: make(map[fleet.Era]time.Time), latest: make(map[fleet.ServerID]modelEvent), startedAt: make(map[fleet.ServerID]registry.StartTime)},
 		processes: make([]*modelProcess, modelInstances),
 	}
 	if restores {
--- a/core/gateway/view.go
+++ b/core/gateway/view.go
@@ -27,6 +27,10 @@
 	// configConfirmedAt is when the configuration was last known to be current.
 	configConfirmedAt time.Time
 	configBehind      bool
+	// settled is set if no entry that the listing lacks may have lapsed in an outage.
+	settled bool
+	// outageSeenAt is when an outage of the store was last seen; zero if it never was.
+	outageSeenAt time.Time
 	// publishedAt is when the control goroutine published the view.
 	publishedAt time.Time
 	// refused is the newest configuration that cannot be used; nil if there is none.
@@ -85,10 +89,13 @@
 // servers they keep for a grace period, so that no server is kept by passing it on, and which
 // ones had left before a restore of the store.
 func (v *View) Listing(now time.Time) follow.Listing {
-	listing := follow.Listing{Position: v.position, Age: unknownAge}
+	listing := follow.Listing{Position: v.position, Age: unknownAge, Settled: v.settled}
 	if !v.confirmedAt.IsZero() {
 		listing.Age = now.Sub(v.confirmedAt)
 	}
+	if !v.outageSeenAt.IsZero() {
+		listing.OutageAge = max(now.Sub(v.outageSeenAt), 1)
+	}
 	listing.Servers = v.registry.Stored()
 	return listing
 }
--- a/core/registry/commands.go
+++ b/core/registry/commands.go
@@ -179,6 +179,15 @@
 	}
 }
 
+// KeepMissing keeps the servers that are missing now until a time at least.
+func (s *State) KeepMissing(until time.Time) {
+	for id, end := range s.missingUntil {
+		if end.Before(until) {
+			s.missingUntil[id] = until
+		}
+	}
+}
+
 // Expire removes the missing servers that are due, as of the position of the copy, and
 // returns their ids. It forgets old removals.
 func (s *State) Expire(now time.Time, position fleet.Position) []fleet.ServerID {
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -52,6 +52,33 @@
 	}
 }
 
+// TestKeepMissing guards against a server that is dropped although an outage ended later than was
+// known, and against a longer grace period that becomes a shorter one or brings a server back.
+func TestKeepMissing(t *testing.T) {
+	now := time.Unix(100, 0)
+	tests := []struct {
+		name     string
+		until    time.Time
+		expireAt time.Time
+		want     []fleet.ServerID
+	}{
+		{"longer", now.Add(2 * time.Second), now.Add(time.Second), []fleet.ServerID{"a", "b"}},
+		{"longer, at the end", now.Add(2 * time.Second), now.Add(2 * time.Second), []fleet.ServerID{"b"}},
+		{"shorter", now, now, []fleet.ServerID{"a", "b"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewState()
+			s.Replace([]Server{server("a", 1), server("b", 1), server("c", 1)}, fleet.Position{Revision: 1}, time.Time{})
+			s.Remove("c", fleet.Position{Revision: 2})
+			s.Replace([]Server{server("b", 1)}, fleet.Position{Revision: 2}, now.Add(time.Second))
+			s.KeepMissing(test.until)
+			s.Expire(test.expireAt, fleet.Position{Revision: 2})
+			require.Equal(t, test.want, ids(s))
+		})
+	}
+}
+
 // TestPublish guards against views that change after they were published, and against
 // new views for reports without a change.
 func TestPublish(t *testing.T) {
--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -32,10 +32,11 @@
 	announcedAt      time.Time
 	remoteSentAt     time.Time
 	remoteIdleSentAt time.Time
-	// copyConfirmedAt, configConfirmedAt and readAt are those of the last LocalStatus.
+	// copyConfirmedAt, configConfirmedAt, readAt and outageSeenAt are those of the last LocalStatus.
 	copyConfirmedAt   time.Time
 	configConfirmedAt time.Time
 	readAt            time.Time
+	outageSeenAt      time.Time
 	// contactAt is when an instance joined while no other one was live; zero if none did yet.
 	contactAt time.Time
 	// seedsNameOthers is set if the latest seeds name another instance.
@@ -63,9 +64,11 @@
 	Ready            bool
 	Slow             bool
 	StoreUnreachable bool
+	OutageSeenAt     time.Time
 	RequestRate      float64
 	Version          fleet.Version
 	Position         fleet.Position
+	// OutageSeenAt is zero unless others may rely on it.
 	// CopyConfirmedAt and ConfigConfirmedAt are zero if there is nothing to confirm.
 	CopyConfirmedAt   time.Time
 	ConfigConfirmedAt time.Time
@@ -77,12 +80,13 @@
 // should be sent at once.
 func (s *State) SetLocalStatus(c LocalStatus) bool {
 	urgent := c.Leaving != s.self.Leaving || c.Ready != s.self.Ready || c.Slow != s.self.Slow || c.StoreUnreachable != s.self.StoreUnreachable
-	urgent = urgent || c.ReadsStore != s.self.ReadsStore
+	urgent = urgent || c.ReadsStore != s.self.ReadsStore || !c.OutageSeenAt.Equal(s.outageSeenAt)
 	urgent = urgent || (s.view.role == Active || c.ReadsStore) && (c.Position != s.self.Position || c.Version != s.self.Version)
 	s.self.Leaving, s.self.Ready, s.self.Slow = c.Leaving, c.Ready, c.Slow
 	s.self.StoreUnreachable = c.StoreUnreachable
 	s.self.RequestRate, s.self.Version, s.self.Position = c.RequestRate, c.Version, c.Position
 	s.self.ReadsStore = c.ReadsStore
+	s.outageSeenAt = c.OutageSeenAt
 	s.copyConfirmedAt, s.configConfirmedAt, s.readAt = c.CopyConfirmedAt, c.ConfigConfirmedAt, c.ReadAt
 	return urgent
 }
@@ -96,6 +100,9 @@
 	if heartbeat.ReadsStore {
 		heartbeat.ReadAge = now.Sub(s.readAt)
 	}
+	if !s.outageSeenAt.IsZero() {
+		heartbeat.OutageAge = max(now.Sub(s.outageSeenAt), 1)
+	}
 	return heartbeat
 }
 
--- a/core/workset/member.go
+++ b/core/workset/member.go
@@ -18,6 +18,9 @@
 	Ready bool
 	// StoreUnreachable is set if the instance reads the store and its calls fail.
 	StoreUnreachable bool
+	// OutageAge is the time since the sender began its latest call to the store that got no
+	// response, while it calls the store often and its calls fail; zero otherwise.
+	OutageAge time.Duration
 	// Slow is set while the timers of the machine fire late.
 	Slow bool
 	// Active is set while the sender takes itself for active.
--- a/core/workset/workset_test.go
+++ b/core/workset/workset_test.go
@@ -479,7 +479,7 @@
 func TestHeartbeatAges(t *testing.T) {
 	s := New(Options{Self: newHeartbeat("x", "a"), Start: startTime.Add(-time.Minute)})
 	confirmedAt := startTime.Add(-100 * time.Millisecond)
-	s.SetLocalStatus(LocalStatus{Ready: true, CopyConfirmedAt: confirmedAt, ConfigConfirmedAt: confirmedAt, ReadsStore: true, ReadAt: confirmedAt})
+	s.SetLocalStatus(LocalStatus{Ready: true, CopyConfirmedAt: confirmedAt, ConfigConfirmedAt: confirmedAt, ReadsStore: true, ReadAt: confirmedAt, OutageSeenAt: confirmedAt})
 	sentAt := startTime.Add(250 * time.Millisecond)
 	tests := []struct {
 		name      string
@@ -493,6 +493,7 @@
 			require.Equal(t, 350*time.Millisecond, test.heartbeat.CopyAge)
 			require.Equal(t, 350*time.Millisecond, test.heartbeat.ConfigAge)
 			require.Equal(t, 350*time.Millisecond, test.heartbeat.ReadAge)
+			require.Equal(t, 350*time.Millisecond, test.heartbeat.OutageAge)
 		})
 	}
 }
--- a/io/gateway/ports.go
+++ b/io/gateway/ports.go
@@ -92,7 +92,9 @@
 func (s followerSink) ApplyChanges(batch follow.Batch) { s.process.control.ApplyChanges(batch) }
 
 // HandleStoreLost implements follow.Sink.
-func (s followerSink) HandleStoreLost(err error) { s.process.control.HandleStoreLost(err) }
+func (s followerSink) HandleStoreLost(err error, calledAt time.Time) {
+	s.process.control.HandleStoreLost(err, calledAt)
+}
 
 // HandleStoreRegained implements follow.Sink.
 func (s followerSink) HandleStoreRegained(unavailableFor time.Duration) {
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -191,6 +191,8 @@
 			Allowance: s.Bounds.RetryAllowance,
 			Span:      s.Bounds.RetryWindow,
 		},
+		SettleTime: s.Bounds.SettleTime,
+
 		Floor:  s.Bounds.Floor,
 		Quotas: p.quotas,
 		Link:   fleet.Mbps(s.Capacity.LinkMbps),
--- a/io/peer/datagram/codec.go
+++ b/io/peer/datagram/codec.go
@@ -55,6 +55,9 @@
 	if heartbeat.ReadsStore {
 		message.ReadAgeMs = proto.Uint64(uint64(max(heartbeat.ReadAge.Milliseconds(), 0)))
 	}
+	if heartbeat.OutageAge > 0 {
+		message.OutageAgeMs = uint64((heartbeat.OutageAge + time.Millisecond - 1).Milliseconds())
+	}
 	for _, contact := range heartbeat.Contacts {
 		message.Contacts = append(message.Contacts, string(contact))
 	}
@@ -94,6 +97,7 @@
 	heartbeat.ConfigAge = time.Duration(min(configAgeMs, uint64(maxAge.Milliseconds()))) * time.Millisecond
 	heartbeat.ReadsStore = message.ReadAgeMs != nil
 	heartbeat.ReadAge = time.Duration(min(message.GetReadAgeMs(), uint64(maxAge.Milliseconds()))) * time.Millisecond
+	heartbeat.OutageAge = time.Duration(min(message.GetOutageAgeMs(), uint64(maxAge.Milliseconds()))) * time.Millisecond
 	for _, contact := range message.GetContacts() {
 		heartbeat.Contacts = append(heartbeat.Contacts, fleet.Address(contact))
 	}
--- a/io/peer/datagram/codec_test.go
+++ b/io/peer/datagram/codec_test.go
@@ -30,7 +30,7 @@
 	heartbeat := workset.Heartbeat{
 		Member: fleet.Member{ID: "i", Incarnation: 7}, Domain: "a", PeerAddress: "10.0.0.1:1", CallerAddress: "10.0.0.1:2",
 		Leaving: true, Ready: true, StoreUnreachable: true, Slow: true, Active: true, Interval: 200 * time.Millisecond, Uptime: time.Minute,
-		Cores: 0.3, RequestRate: 12.5, Version: 3, Position: fleet.Position{Era: 2, Revision: 9}, CopyAge: time.Second, DomainSize: 40, DomainHeard: 33, ConfigAge: 3 * time.Second, ReadsStore: true, ReadAge: 80 * time.Millisecond,
+		Cores: 0.3, RequestRate: 12.5, Version: 3, Position: fleet.Position{Era: 2, Revision: 9}, CopyAge: time.Second, DomainSize: 40, DomainHeard: 33, ConfigAge: 3 * time.Second, ReadsStore: true, ReadAge: 80 * time.Millisecond, OutageAge: 720 * time.Millisecond,
 		Contacts: []fleet.Address{"10.0.0.2:1"}, RequestsContacts: true,
 	}
 	report := gateway.Report{
--- a/io/peer/snapshot/convert.go
+++ b/io/peer/snapshot/convert.go
@@ -15,7 +15,7 @@
 )
 
 func toServers(listing follow.Listing) *peerpb.Servers {
-	message := &peerpb.Servers{Era: uint64(listing.Position.Era), Revision: uint64(listing.Position.Revision), Age: int64(listing.Age), Partial: listing.Partial}
+	message := &peerpb.Servers{Era: uint64(listing.Position.Era), Revision: uint64(listing.Position.Revision), Age: int64(listing.Age), Partial: listing.Partial, Settled: listing.Settled, Outage: int64(listing.OutageAge)}
 	for i := range listing.Servers {
 		message.Servers = append(message.Servers, toServer(&listing.Servers[i]))
 	}
@@ -54,6 +54,9 @@
 		Position: positionOf(message.GetEra(), message.GetRevision()),
 		Age:      max(time.Duration(message.GetAge()), 0),
 		Partial:  message.GetPartial(),
+		Settled:  message.GetSettled(),
+
+		OutageAge: max(time.Duration(message.GetOutage()), 0),
 	}
 	for _, server := range message.GetServers() {
 		listing.Servers = append(listing.Servers, fromServer(message.GetEra(), server))
--- a/io/peer/snapshot/snapshot_test.go
+++ b/io/peer/snapshot/snapshot_test.go
@@ -113,7 +113,9 @@
 // TestDocuments guards against documents that differ from what the peer has, also if the
 // peer gets a newer one during the transfer.
 func TestDocuments(t *testing.T) {
-	servers := follow.Listing{Position: fleet.Position{Era: 2, Revision: 40}, Servers: []registry.Server{{Incarnation: registry.Incarnation{ID: "s1", StartedAt: 1}, Service: "s", Written: fleet.Position{Era: 2, Revision: 33}}}}
+	servers := follow.Listing{Position: fleet.Position{Era: 2, Revision: 40}, OutageAge: time.Second, Servers: []registry.Server{{Incarnation: registry.Incarnation{ID: "s1", StartedAt: 1}, Service: "s", Written: fleet.Position{Era: 2, Revision: 33}}}}
+	settled := servers
+	settled.Settled = true
 	tests := []struct {
 		name   string
 		kind   follow.Kind
@@ -122,6 +124,7 @@
 		want   follow.Listing
 	}{
 		{"servers", follow.Servers, &testCopy{listing: servers}, func(*testCopy) {}, servers},
+		{"settled servers", follow.Servers, &testCopy{listing: settled}, func(*testCopy) {}, settled},
 		{"configuration", follow.Configuration, &testCopy{document: largeDocument(3)}, func(*testCopy) {}, follow.Listing{Routes: largeDocument(3)}},
 		{"configuration that changes", follow.Configuration, &testCopy{document: largeDocument(3)}, func(c *testCopy) { c.document = largeDocument(4) }, follow.Listing{Routes: largeDocument(3)}},
 	}
--- a/io/setting/gateway.go
+++ b/io/setting/gateway.go
@@ -53,6 +53,9 @@
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// SettleTime is the time after the end of a disruption from which on the guarantees with a
+	// bound in time hold again.
+	SettleTime time.Duration
 	// Floor is the share of the servers of a service that are kept in use, whatever is
 	// estimated of them.
 	Floor float64
@@ -132,6 +135,7 @@
 		RetryRatio:     0.1,
 		RetryWindow:    10 * time.Second,
 		RetryAllowance: 10,
+		SettleTime:     3 * time.Second,
 		Floor:          0.7,
 		RevokeAge:      5 * time.Second,
 	}
@@ -165,6 +169,9 @@
 	if g.Bounds.RetryWindow <= 0 || g.Bounds.GracePeriod <= 0 {
 		return fmt.Errorf("the bounds must be positive: retry window %v, grace %v", g.Bounds.RetryWindow, g.Bounds.GracePeriod)
 	}
+	if g.Bounds.SettleTime <= 0 {
+		return fmt.Errorf("the time until the guarantees hold again must be positive: %v", g.Bounds.SettleTime)
+	}
 	if q := g.Bounds.Quota; q.Window != 0 && (q.Window < minQuotaWindow || q.Window > maxQuotaWindow) || !(q.Overage >= 0) || !(q.Tolerance >= 0) {
 		return fmt.Errorf("the window of the quotas must be 0 or from %v to %v, their overage and tolerance not negative: %v, %g, %g", minQuotaWindow, maxQuotaWindow, q.Window, q.Overage, q.Tolerance)
 	}
