route: an empty list of customers requires keys, no list does not

Cause: an empty list and no list were decoded to the same document, and keys were required only if there were customers. It was a decision of docs/design/customers.md. A configuration that contains the list requires keys.

Change: Document.KeysRequired is set if the document has the field, whatever it holds; null may be an empty list and opens nothing. Admission, the check before the first byte and the removal of Authorization go by Table.RequiresKeys. Copies for peers state it. A copy of an earlier release without customers can mean either, so it is not used and the configuration is read from the store. galenaridge show names it. The settings of galenaridge serve had the same confusion in their list of customers.

--- a/cmd/show.go
+++ b/cmd/show.go
@@ -93,7 +93,7 @@
 	instance, config := state.Instance, state.Config
 	printRow(out, "instance", instance.ID, "domain "+string(instance.Domain), fmt.Sprintf("incarnation %x", uint64(instance.Incarnation)))
 	printRow(out, "state", readinessText(state), "lease "+leaseText(state.Lease), "release "+instance.Release)
-	printRow(out, "configuration", fmt.Sprintf("version %d", config.Version), "age "+formatMilliseconds(config.AgeMS), "digest "+shortDigest(string(config.Digest)))
+	printRow(out, "configuration", fmt.Sprintf("version %d", config.Version), "age "+formatMilliseconds(config.AgeMS), "digest "+shortDigest(string(config.Digest)), keysText(config))
 	if refused := config.Refused; refused != nil {
 		printRow(out, "refused configuration", fmt.Sprintf("version %d", refused.Version), refused.Reason)
 	}
@@ -101,6 +101,13 @@
 	printRow(out, "records", fmt.Sprintf("%d of %d", state.Records.Held, state.Records.MaxRecords), fmt.Sprintf("%d running", state.Records.Running), fmt.Sprintf("%d inherited", state.Records.Inherited))
 }
 
+func keysText(config operator.Config) string {
+	if config.KeysRequired {
+		return "keys required"
+	}
+	return "no keys required"
+}
+
 func printServers(out io.Writer, state operator.InstanceState) {
 	printHeading(out, "SERVER", "SERVICE", "DOMAIN", "HEALTH", "BUSY", "WEIGHT", "SINCE", "REASON")
 	for _, s := range state.OwnedServers {
--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -96,7 +96,7 @@
 	}
 	r.grant = found
 	r.request.Customer = found.customerName()
-	r.request.OmitCredential = table.HasCustomers()
+	r.request.OmitCredential = table.RequiresKeys()
 	r.request.Service = found.route.NextService()
 	r.request.Protected = !found.route.Idempotent
 	r.request.Deadline = fleet.Earlier(r.callerDeadline, r.arrivedAt.Add(found.route.Timeout))
@@ -119,7 +119,7 @@
 	known, found := table.Customer(request.Credential)
 	g := grant{table: table, route: entry, customer: known}
 	switch {
-	case !table.HasCustomers() || entry.Public:
+	case !table.RequiresKeys() || entry.Public:
 		return g, nil
 	case e.isRevocationUnknown():
 		return g, refusalOf(refuseWithRetryAfter(exchange.NotReady, "the instance cannot confirm that keys are still valid", notReadyRetryAfter))
@@ -161,7 +161,7 @@
 		current.route.Uses(request.Service) &&
 		current.route.Idempotent == g.route.Idempotent &&
 		current.customerName() == request.Customer &&
-		table.HasCustomers() == request.OmitCredential
+		table.RequiresKeys() == request.OmitCredential
 }
 
 // checkStopPlan refuses a request that may not end before the process does.
--- a/core/dispatch/admission_test.go
+++ b/core/dispatch/admission_test.go
@@ -137,8 +137,24 @@
 	}
 }
 
+// TestAdmissionWithEmptyCustomers guards against requests that run, or keys that reach servers,
+// after a version took the last customer away.
+func TestAdmissionWithEmptyCustomers(t *testing.T) {
+	document := customersDocument(2)
+	document.Customers, document.KeysRequired = nil, true
+	for _, key := range []string{"k1", "k9", ""} {
+		e, state, sender, _ := newCustomersEngine(t, Revocation{}, respondWith(200))
+		state.current.Store(tableOf(t, document))
+		response := e.Serve(context.Background(), requestWithKey("/read/", key))
+		require.Equal(t, exchange.Unauthorized, response.Code)
+		require.Zero(t, sender.count())
+		require.Equal(t, 200, e.Serve(context.Background(), requestWithKey("/open/", key)).Status)
+		require.True(t, sender.sent[0].Request.OmitCredential)
+	}
+}
+
 // TestAdmissionWithoutCustomers guards against keys that are needed, or removed from
-// requests, although the configuration has no customers.
+// requests, although the configuration has no list of customers.
 func TestAdmissionWithoutCustomers(t *testing.T) {
 	e, sender, _ := newEngine(t, 3, ampleQuota, respondWith(200))
 	e.options.Revocation = Revocation{FailClosed: true, MaxAge: time.Second}
--- a/core/route/document.go
+++ b/core/route/document.go
@@ -19,8 +19,11 @@
 	Services []Service
 	Limits   Limits
 	Routes   []Route
-	// Customers lists the customers. If there are any, only routes that are public serve
-	// requests without the key of a customer.
+	// KeysRequired is set if only routes that are public serve requests without the key of a
+	// customer: the configuration has a list of customers. The list may be empty, and then
+	// no key is valid.
+	KeysRequired bool
+	// Customers lists the customers. If there are any, keys are required.
 	Customers []customer.Customer
 }
 
--- a/core/route/queries.go
+++ b/core/route/queries.go
@@ -15,6 +15,8 @@
 	limits   Limits
 	services map[fleet.ServiceName]Service
 	hosts    map[string]*hostRoutes
+	// keysRequired is set if requests need a key, also if there is no valid one.
+	keysRequired bool
 	// keys holds the customers by the hashes of their keys.
 	keys      map[customer.KeyHash]*customer.Customer
 	customers map[fleet.Customer]*customer.Customer
@@ -41,7 +43,10 @@
 		limits:   d.Limits,
 		services: make(map[fleet.ServiceName]Service, len(d.Services)),
 		hosts:    make(map[string]*hostRoutes),
-		keys:     make(map[customer.KeyHash]*customer.Customer, len(d.Customers)),
+
+		keysRequired: d.KeysRequired || len(d.Customers) > 0,
+
+		keys: make(map[customer.KeyHash]*customer.Customer, len(d.Customers)),
 
 		customers: make(map[fleet.Customer]*customer.Customer, len(d.Customers)),
 	}
@@ -90,8 +95,11 @@
 	return s, ok
 }
 
-// HasCustomers reports whether the configuration has customers. If it has none, requests
-// need no key.
+// RequiresKeys reports whether requests need the key of a customer, unless their route is
+// public. It does so also if the list of customers is empty.
+func (t *Table) RequiresKeys() bool { return t.keysRequired }
+
+// HasCustomers reports whether the configuration has customers.
 func (t *Table) HasCustomers() bool { return len(t.customers) > 0 }
 
 // Customer returns the customer of a key, and false if no customer has the key.
--- a/io/caller/keys.go
+++ b/io/caller/keys.go
@@ -32,10 +32,10 @@
 	Refused  uint64
 }
 
-// NewKeys returns the keys of customers, or nil if there are none: requests then need no
-// key.
+// NewKeys returns the keys of customers, or nil if there is no list of customers: requests then
+// need no key. With an empty list, no key is valid.
 func NewKeys(customers []customer.Customer) *Keys {
-	if len(customers) == 0 {
+	if customers == nil {
 		return nil
 	}
 	k := &Keys{customers: make(map[customer.KeyHash]*customerCounts)}
--- a/io/gateway/state.go
+++ b/io/gateway/state.go
@@ -78,6 +78,7 @@
 		Draining:      view.Stopping(),
 		Config: operator.Config{
 			Version:          view.Routes().Version(),
+			KeysRequired:     view.Routes().RequiresKeys(),
 			WatchingPlatform: view.WorkingSet().IsStoreReader(),
 		},
 		Listing: operator.Listing{Era: view.Position().Era, Revision: view.Position().Revision},
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -107,6 +107,9 @@
 	// ConfirmedMS is the time since the store last confirmed the configuration to any
 	// instance, as far as this one knows.
 	ConfirmedMS int64 `json:"confirmed_ms,omitempty"`
+	// KeysRequired reports whether requests need the key of a customer, unless their route is
+	// public.
+	KeysRequired bool `json:"keys_required"`
 	// WatchingPlatform reports whether this instance watches the platform.
 	WatchingPlatform bool `json:"watching"`
 	// PlatformFailingMS is the time since calls to the platform began to fail; it is
--- a/io/peer/snapshot/convert.go
+++ b/io/peer/snapshot/convert.go
@@ -108,6 +108,7 @@
 		Body:       int64(document.Limits.MaxBodyBytes),
 		HeaderWait: int64(document.Limits.HeaderTimeout),
 		Idle:       int64(document.Limits.IdleTimeout),
+		Keys:       proto.Bool(document.KeysRequired || len(document.Customers) > 0),
 	}
 	for _, s := range document.Services {
 		message.Services = append(message.Services, &peerpb.RouteService{Name: string(s.Name), Health: s.HealthPath, Conns: int64(s.MaxConns)})
@@ -151,8 +152,13 @@
 }
 
 // fromRoutes returns the configuration in a message, which is not validated. It returns an
-// error if the hash of a key has the wrong length.
+// error if the hash of a key has the wrong length, or if the message does not say whether
+// requests need a key. Peers of earlier releases send an empty list of customers as none, so
+// such a configuration has to be read from the store.
 func fromRoutes(message *peerpb.Routes) (*route.Document, error) {
+	if message.Keys == nil && len(message.GetCustomers()) == 0 {
+		return nil, eris.New("the peer does not say whether requests need a key")
+	}
 	document := &route.Document{
 		Version: fleet.Version(message.GetVersion()),
 		Limits: route.Limits{
@@ -161,6 +167,7 @@
 			HeaderTimeout:  time.Duration(message.GetHeaderWait()),
 			IdleTimeout:    time.Duration(message.GetIdle()),
 		},
+		KeysRequired: message.GetKeys() || len(message.GetCustomers()) > 0,
 	}
 	for _, s := range message.GetServices() {
 		document.Services = append(document.Services, route.Service{Name: fleet.ServiceName(s.GetName()), HealthPath: s.GetHealth(), MaxConns: fleet.Conns(s.GetConns())})
--- a/io/process/state.go
+++ b/io/process/state.go
@@ -63,6 +63,7 @@
 		Version:          view.Config.Version(),
 		Digest:           view.Config.Digest(),
 		AgeMS:            ageMillis(now, view.ConfigAdoptedAt),
+		KeysRequired:     p.keys != nil,
 		WatchingPlatform: view.WatchingPlatform,
 	}
 	for _, w := range p.watchers {
--- a/io/setting/customer.go
+++ b/io/setting/customer.go
@@ -43,10 +43,13 @@
 	problem.CheckUnique(c, customersPath, ".name", len(customers), func(i int) fleet.Customer { return customers[i].Name })
 }
 
-// ReadCustomers reads the keys of the customers. Environ has the form of os.Environ. No error
-// contains a key.
+// ReadCustomers reads the keys of the customers. It returns nil only if there is no list. Environ
+// has the form of os.Environ. No error contains a key.
 func ReadCustomers(customers []Customer, environ []string) ([]customer.Customer, error) {
-	var read []customer.Customer
+	if customers == nil {
+		return nil, nil
+	}
+	read := make([]customer.Customer, 0, len(customers))
 	for _, entry := range customers {
 		withKeys := customer.Customer{Name: entry.Name}
 		for _, source := range entry.Keys {
--- a/io/setting/customer_test.go
+++ b/io/setting/customer_test.go
@@ -88,6 +88,32 @@
 	}
 }
 
+// TestEmptyCustomers guards against a process that asks for no key although its settings have a
+// list of customers, which is empty.
+func TestEmptyCustomers(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		// listed is set if there is a list.
+		listed bool
+	}{
+		{"empty list", "customers: []\n", true},
+		{"no list", "", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			settings, err := Load(Source{File: writeFile(t, goodFile+test.text)})
+			require.NoError(t, err)
+			read, err := ReadCustomers(settings.Customers, nil)
+			require.NoError(t, err)
+			require.Empty(t, read)
+			require.Equal(t, test.listed, read != nil)
+		})
+	}
+	_, err := Load(Source{File: writeFile(t, goodFile+"customers:\n")})
+	require.ErrorContains(t, err, "customers", "a key without a value is neither")
+}
+
 // TestKeyVariables guards against a variable with a key that is refused, and printed, as an
 // unknown setting.
 func TestKeyVariables(t *testing.T) {
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -25,7 +25,8 @@
 	// translation between failure domains.
 	Via    map[fleet.Address]fleet.Address `yaml:"via"`
 	Limits Limits                          `yaml:"limits"`
-	// Customers may send requests. If it is empty, requests need no key.
+	// Customers may send requests. If it is nil, requests need no key; if it is empty, no key
+	// is valid.
 	Customers []Customer `yaml:"customers"`
 }
 
