upstream: discard a response that ended with a reset that the upload noticed

Callers: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete response.

Cause: the kernel reports the error of a socket once. Large requests are written while the response is read; if the write gets the ECONNRESET, the read returns the end of the stream as after an orderly close, and a body without a length ends with its connection.

Change: such a response counts only if the request was written without a failure until its end. A write that still waits for the server is ended by the instance, which shows at once whether it had taken an error. Otherwise the attempt ends with upstream_lost and may have run.

--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -101,6 +101,12 @@
 	return eris.New("too many interim responses")
 }
 
+// EndsWithConnection reports whether only the end of the connection ends the body of a
+// response. response.SkipBody must be set for a response to HEAD.
+func EndsWithConnection(response *fasthttp.Response) bool {
+	return !response.SkipBody && !StatusHasNoBody(response.StatusCode()) && response.Header.ContentLength() == lengthUnknown
+}
+
 // StatusHasNoBody reports whether responses with the status never have a body. Interim
 // responses are not considered.
 func StatusHasNoBody(status int) bool {
--- a/io/upstream/round_trip.go
+++ b/io/upstream/round_trip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"strconv"
 	"strings"
 
@@ -35,6 +36,8 @@
 	options  PoolOptions
 	reused   bool
 	evidence *attempt.Evidence
+	// endedByConn is set if the body of the response ended with the connection.
+	endedByConn bool
 	// mustClose is set if the connection must not be used for another request.
 	mustClose bool
 }
@@ -93,7 +96,7 @@
 // since the server still expects the rest. The body is not copied: it may be large.
 func (t *roundTrip) readWhileWriting(ctx context.Context, head, body []byte) (exchange.Response, *Error) {
 	var writing conc.WaitGroup
-	written := make(chan int, 1)
+	results := make(chan writeResult, 1)
 	t.evidence.Written = true
 	writing.Go(func() {
 		n, err := t.conn.socket.Write(head)
@@ -105,15 +108,23 @@
 		if err != nil && n == 0 {
 			t.conn.close()
 		}
-		written <- n
+		results <- writeResult{bytes: n, err: err}
 	})
 	response, fault := t.readResponse(ctx)
+	if fault == nil && t.endedByConn {
+		// Ends a write that waits for the server to read.
+		_ = t.conn.socket.SetWriteDeadline(t.options.Clock.Now())
+		writing.Wait()
+	}
 	select {
-	case n := <-written:
-		t.mustClose = t.mustClose || n < len(head)+len(body)
-		if n == 0 {
+	case r := <-results:
+		t.mustClose = t.mustClose || r.bytes < len(head)+len(body)
+		if r.bytes == 0 {
 			t.evidence.Written = false
 		}
+		if fault == nil && t.endedByConn && r.failed() {
+			return t.discardResponse(ctx, r.err)
+		}
 	default:
 		t.mustClose = true
 		t.conn.close()
@@ -122,6 +133,27 @@
 	return response, fault
 }
 
+// writeResult is the end of writing a request.
+type writeResult struct {
+	bytes int
+	err   error
+}
+
+// failed reports whether the connection failed while the request was written. A write that
+// the instance ended itself has not failed.
+func (r writeResult) failed() bool {
+	return r.err != nil && !errors.Is(r.err, os.ErrDeadlineExceeded)
+}
+
+// discardResponse returns the error for a response whose body ended with the connection while
+// the request was being written, if the write failed. The kernel reports a reset once, to the
+// write or to the read. If the write gets it, the read ends as if the server had closed the
+// connection in order, so the body may be cut off.
+func (t *roundTrip) discardResponse(ctx context.Context, err error) (exchange.Response, *Error) {
+	t.evidence.Complete = false
+	return exchange.Response{}, t.conn.socketError(ctx, eris.Wrap(err, "writing the request while the response ended with the connection"))
+}
+
 // readResponse reads the response to this request and skips late responses to earlier
 // requests.
 func (t *roundTrip) readResponse(ctx context.Context) (exchange.Response, *Error) {
@@ -152,6 +184,7 @@
 			return exchange.Response{}, t.conn.responseError(ctx, err)
 		}
 		if accepted {
+			t.endedByConn = http1.EndsWithConnection(decoded)
 			return t.acceptResponse(decoded, metadata)
 		}
 	}
--- a/io/upstream/upload_test.go
+++ b/io/upstream/upload_test.go
@@ -170,3 +170,72 @@
 		})
 	}
 }
+
+// TestPoolResetDuringUpload guards against a part of a response that is taken as whole: its
+// body ends with the connection, and the write of a large request got the error of the reset
+// that the read should have got.
+func TestPoolResetDuringUpload(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\nGalenaridge-Request-Id: ID\r\nGalenaridge-Server-Signature: s\r\n\r\npart"
+	tests := []struct {
+		name string
+		// end ends the connection after the response was sent.
+		end    func(t *testing.T, conn *net.TCPConn, body io.Reader)
+		status int
+		// tries is higher where it is a race which side gets an error.
+		tries int
+	}{
+		{"reset", func(t *testing.T, conn *net.TCPConn, _ io.Reader) {
+			require.NoError(t, conn.SetLinger(0))
+		}, 504, 40},
+		{"closed with unread bytes", func(*testing.T, *net.TCPConn, io.Reader) {}, 504, 40},
+		{"closed in order, and the rest read", func(t *testing.T, conn *net.TCPConn, body io.Reader) {
+			require.NoError(t, conn.CloseWrite())
+			_, _ = io.Copy(io.Discard, body)
+		}, 200, 5},
+		{"closed in order, and the rest not read", func(t *testing.T, conn *net.TCPConn, _ io.Reader) {
+			require.NoError(t, conn.CloseWrite())
+			time.Sleep(200 * time.Millisecond)
+		}, 200, 5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			for i := range test.tries {
+				var serving sync.WaitGroup
+				serving.Go(func() {
+					accepted, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					conn := accepted.(*net.TCPConn)
+					defer func() { _ = conn.Close() }()
+					request, err := http.ReadRequest(bufio.NewReaderSize(conn, 512))
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, strings.ReplaceAll(part, "ID", request.Header.Get("Galenaridge-Request-Id")))
+					// The upload fills the buffers of both sides meanwhile.
+					time.Sleep(5 * time.Millisecond)
+					test.end(t, conn, request.Body)
+				})
+				entry := registry.Server{Incarnation: registry.Incarnation{ID: "i-1", StartedAt: 1}, Service: "s", Domain: "a", Address: fleet.Address(listener.Addr().String()), Slots: 4}
+				attempt := newAttempt(entry, fmt.Sprintf("r%d", i), strings.Repeat("x", 16<<20))
+				attempt.Deadline = time.Now().Add(5 * time.Second)
+				startedAt := time.Now()
+				response, evidence := newPool(t).Send(context.Background(), attempt)
+				require.Equal(t, test.status, response.Status, "try %d: %v", i, evidence.Err)
+				require.Equal(t, test.status == 200, evidence.Complete)
+				require.Less(t, time.Since(startedAt), time.Second, "the response does not wait for the upload")
+				if test.status == 200 {
+					require.Equal(t, "part", string(response.Body))
+				} else {
+					require.True(t, evidence.Written)
+					require.Empty(t, response.Body)
+				}
+				serving.Wait()
+			}
+		})
+	}
+}
