--- a/core/workset/commands.go
+++ b/core/workset/commands.go
@@ -64,16 +64,16 @@
 	Ready            bool
 	Slow             bool
 	StoreUnreachable bool
-	OutageSeenAt     time.Time
 	RequestRate      float64
 	Version          fleet.Version
 	Position         fleet.Position
-	// OutageSeenAt is zero unless others may rely on it.
 	// CopyConfirmedAt and ConfigConfirmedAt are zero if there is nothing to confirm.
 	CopyConfirmedAt   time.Time
 	ConfigConfirmedAt time.Time
 	ReadsStore        bool
 	ReadAt            time.Time
+	// OutageSeenAt is zero unless the instance calls the store often and its calls fail.
+	OutageSeenAt time.Time
 }
 
 // SetLocalStatus sets the status of this instance. It reports whether a heartbeat
--- a/io/gateway/process.go
+++ b/io/gateway/process.go
@@ -192,10 +192,9 @@
 			Span:      s.Bounds.RetryWindow,
 		},
 		SettleTime: s.Bounds.SettleTime,
-
-		Floor:  s.Bounds.Floor,
-		Quotas: p.quotas,
-		Link:   fleet.Mbps(s.Capacity.LinkMbps),
+		Floor:      s.Bounds.Floor,
+		Quotas:     p.quotas,
+		Link:       fleet.Mbps(s.Capacity.LinkMbps),
 	})
 	p.callerServer = pipeline.New(pipeline.Options{
 		Clock:        p.clock,
