--- a/io/gateway/large_config_test.go
+++ b/io/gateway/large_config_test.go
@@ -60,6 +60,7 @@
 	Event    string `json:"event"`
 	Version  int    `json:"version"`
 	Era      int    `json:"era"`
+	Revision int    `json:"revision"`
 	Server   string `json:"server"`
 	State    string `json:"state"`
 }
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -126,6 +126,13 @@
 	s.appendChange(stored)
 }
 
+// Revision returns the revision of the last change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Delete removes an entry under a new revision.
 func (s *Store) Delete(key string) {
 	s.mu.Lock()
