--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -292,8 +292,11 @@
 }
 
 func (s *silentStore) call(limit time.Duration) error {
+	s.mu.Lock()
 	s.calledAt = append(s.calledAt, time.Now())
-	if time.Now().Before(s.returnsAt) {
+	silent := time.Now().Before(s.returnsAt)
+	s.mu.Unlock()
+	if silent {
 		time.Sleep(limit)
 		return errors.New("no response")
 	}
@@ -329,7 +332,7 @@
 			}()
 			f.SetMode(Reader)
 			time.Sleep(100 * time.Millisecond)
-			source.returnsAt = time.Now().Add(outage)
+			source.set(func(*fakeStore) { source.returnsAt = time.Now().Add(outage) })
 			time.Sleep(outage + 900*time.Millisecond)
 			cancel()
 			<-done
